--- /dev/null
+++ b/ladderhold/adapter.py
@@ -0,0 +1,418 @@
+"""Puts balancers on the simulator's wire: a map of names, and no decision.
+
+Run as `python -m ladderhold.adapter`.  Input that breaks the wire's grammar ends the process with one line on
+standard error and exit code 2.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, TextIO
+
+from ladderhold.balancer import Balancer
+from ladderhold.interface import (
+    Action,
+    AnswerStarted,
+    AttemptEnded,
+    Cancel,
+    CloseIdle,
+    Event,
+    Fail,
+    FetchList,
+    Follow,
+    ListedServer,
+    ListKind,
+    Log,
+    MessageReceived,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    RequestGone,
+    Send,
+    ServersListed,
+    ServerState,
+    SetTimer,
+    Settings,
+    Tell,
+    TimerFired,
+)
+
+
+class WireError(Exception):
+    """A line that the wire does not allow."""
+
+
+# Settings: wire name -> name in interface.py; what has no entry is passed over.
+_TOP = {
+    "lanes": "classes",
+    "realms": "tenants",
+    "zone": "zone",
+    "me": "me",
+    "groupSize": "group_size",
+    "quantumUs": "tick_us",
+    "discovery": "discovery",
+    "weights": "weights",
+    "worthBy": "worth_by",
+    "overShareWorth": "over_share_worth",
+    "report": "report",
+    "bounds": "limits",
+    "guarantees": "rules",
+    "prices": "prices",
+}
+_NESTED = {
+    "classes": {
+        "name": "name",
+        "giveUpUs": "deadline_us",
+        "promiseUs": "aim_us",
+        "worth": "worth",
+        "lateValue": "late_worth",
+        "repeat": "repeat",
+        "group": "group",
+        "memorySpanUs": "memory_us",
+        "streaming": "streaming",
+        "aimStretch": "aim_stretch",
+        "byArrival": "by_arrival",
+    },
+    "tenants": {"name": "name", "portion": "share", "quotaRps": "quota_per_s"},
+    "report": {"columns": "columns", "source": "source"},
+    "limits": {
+        "sendCap": "max_attempts",
+        "secondCopies": "second_copies",
+        "mayCancel": "may_cancel",
+        "probing": "may_probe",
+        "mayTell": "may_message",
+        "retryAfter": "retry_after",
+        "maxRetryAfterUs": "max_retry_after_us",
+        "dialTimeoutUs": "dial_timeout_us",
+        "idleCloseUs": "idle_close_us",
+        "streamsPerConn": "streams_per_connection",
+    },
+    "rules": {
+        "answerSlackUs": "answer_slack_us",
+        "askWithinUs": "ask_within_us",
+        "drainGraceUs": "drain_grace_us",
+        "coldFrom": "cold_from",
+        "coldUs": "cold_us",
+        "fallMultiple": "fall_multiple",
+        "fallUs": "fall_us",
+        "lateShedding": "late_shedding",
+        "turnGapUs": "turn_gap_us",
+    },
+    "prices": {
+        "crossZone": "cross_zone",
+        "probe": "probe",
+        "peer": "message",
+        "waste": "waste",
+        "handshake": "handshake",
+        "connection": "connection",
+    },
+}
+# Words that stand for values.
+_WORDS = {
+    "repeat": {"read_like": "safe", "idempotency_key": "keyed", "non_idempotent": "unsafe"},
+    "source": {"piggyback": "answers", "pull": "probes"},
+}
+_LIST_KINDS = {
+    "delta": ListKind.CHANGES,
+    "full": ListKind.COMPLETE,
+    "cached": ListKind.REMEMBERED,
+    "failed": ListKind.FAILED,
+}
+_STATES = {each.value: each for each in ServerState}
+_OUTCOMES = {
+    "delivered": Outcome.DELIVERED,
+    "app_error": Outcome.ERROR,
+    "shed": Outcome.FULL,
+    "expired": Outcome.EXPIRED,
+    "dial_failed": Outcome.DIAL_FAILED,
+    "dropped": Outcome.DROPPED,
+    "revoked": Outcome.CANCELLED,
+    "unused": Outcome.UNSENT,
+}
+_HINT_VALID, _CLIENT_RETRY, _WRITE = 1, 2, 4
+_EVERY_PEER = -1
+
+
+def settings_from_wire(given: object) -> Settings:
+    """Translate the settings object of the wire."""
+    if not isinstance(given, Mapping):
+        raise ValueError("settings: an object is needed")
+    named = _renamed(given, _TOP)
+    for key, names in _NESTED.items():
+        part = named.get(key)
+        if isinstance(part, list):
+            named[key] = [_renamed(each, names) if isinstance(each, Mapping) else each for each in part]
+        elif isinstance(part, Mapping):
+            named[key] = _renamed(part, names)
+    domain = given.get("domain")
+    if isinstance(domain, Mapping):  # facts about the kind of service: one is of use here
+        named["warm_keys"] = domain.get("warmKeys")
+    return Settings.from_mapping(named)
+
+
+def _renamed(given: Mapping[str, Any], names: Mapping[str, str]) -> dict[str, Any]:
+    out: dict[str, Any] = {}
+    for wire, name in names.items():
+        if wire in given:
+            value = given[wire]
+            if isinstance(value, str):
+                value = _WORDS.get(name, {}).get(value, value)
+            out[name] = value
+    return out
+
+
+# ---------------------------------------------------------------------------------------------------
+# Fields of a message
+
+
+def _whole(value: object) -> int:
+    if type(value) is not int:
+        raise WireError(f"a whole number is needed, not {value!r:.60}")
+    return value
+
+
+def _text(value: object) -> str:
+    if type(value) is not str:
+        raise WireError(f"a text is needed, not {value!r:.60}")
+    return value
+
+
+def _flag(value: object) -> bool:
+    if type(value) is not bool:
+        raise WireError(f"true or false is needed, not {value!r:.60}")
+    return value
+
+
+def _optional_whole(value: object) -> int | None:
+    return None if value is None else _whole(value)
+
+
+def _word(value: object, words: Mapping[str, Any]) -> Any:
+    try:
+        return words[value]  # type: ignore[index]
+    except (KeyError, TypeError):
+        raise WireError(f"unknown word {value!r:.60}") from None
+
+
+def _report(value: object) -> Mapping[str, float] | None:
+    if value is None:
+        return None
+    if not isinstance(value, dict):
+        raise WireError("a load report must be an object")
+    for figure in value.values():
+        if isinstance(figure, bool) or not isinstance(figure, (int, float)):
+            raise WireError(f"a load report holds numbers, not {figure!r:.60}")
+    return value
+
+
+def _payload(value: object) -> bytes:
+    try:
+        return bytes.fromhex(_text(value))
+    except ValueError:
+        raise WireError("hex digits are needed") from None
+
+
+def _listed(line: object) -> ListedServer:
+    if not isinstance(line, list) or len(line) < 6:
+        raise WireError("an entry of a server list has at least 6 values")
+    nominal = line[5]
+    if isinstance(nominal, bool) or not isinstance(nominal, (int, float)):
+        raise WireError("a nominal figure must be a number")
+    started = _optional_whole(line[6]) if len(line) > 6 else None
+    return ListedServer(
+        server=_text(line[0]),
+        zone=_text(line[1]),
+        kind=_text(line[2]),
+        cell=_whole(line[3]),
+        state=_word(line[4], _STATES),
+        nominal=float(nominal),
+        started_at=started or None,
+    )
+
+
+def _request(m: list[Any]) -> Event:
+    flags = _whole(m[8])
+    return RequestArrived(
+        request=_whole(m[2]),
+        service_class=_text(m[3]),
+        tenant=None if m[4] is None or m[4] == 0 else _text(m[4]),
+        key=_optional_whole(m[5]),
+        remaining_us=_whole(m[6]),
+        cost_us=_optional_whole(m[7]) if flags & _HINT_VALID else None,
+        client_retry=bool(flags & _CLIENT_RETRY),
+        write=bool(flags & _WRITE),
+    )
+
+
+def _started(m: list[Any]) -> Event:
+    return AnswerStarted(_whole(m[2]), _whole(m[3]), _text(m[5]), _whole(m[4]))
+
+
+def _ended(m: list[Any]) -> Event:
+    return AttemptEnded(
+        request=_whole(m[2]),
+        attempt=_whole(m[3]),
+        server=_text(m[4]),
+        outcome=_word(m[5], _OUTCOMES),
+        elapsed_us=_whole(m[6]),
+        answered=_flag(m[7]),
+        report=_report(m[8]) if len(m) > 8 else None,
+    )
+
+
+def _probed(m: list[Any]) -> Event:
+    report = _report(m[5]) if len(m) > 5 else None
+    return ProbeEnded(_text(m[4]), _word(m[3], _OUTCOMES), _whole(m[2]), report)
+
+
+# Event name -> least number of values (the name included) and how to read them.
+_EVENTS: dict[str, tuple[int, Callable[[list[Any]], Event]]] = {
+    "WORK_ITEM": (9, _request),
+    "FIRST": (6, _started),
+    "ATTEMPT_END": (8, _ended),
+    "CLIENT_GONE": (3, lambda m: RequestGone(_whole(m[2]))),
+    "WAKE": (3, lambda m: TimerFired(_text(m[2]))),
+    "SAMPLED": (5, _probed),
+    "MEMO": (4, lambda m: MessageReceived(_whole(m[2]), _payload(m[3]))),
+}
+
+# Action type -> how to write it, after the instance's name.
+_ACTIONS: dict[type[Any], tuple[str, Callable[[Any], list[Any]]]] = {
+    Send: ("ASSIGN", lambda a: [a.request, a.server, a.until]),
+    Refuse: ("NOT_NOW", lambda a: [a.request, a.retry_after_us]),
+    Fail: ("SURRENDER", lambda a: [a.request]),
+    Cancel: ("ABORT_ATTEMPT", lambda a: [a.request, a.attempt]),
+    SetTimer: ("REMIND", lambda a: [a.in_us, a.token]),
+    Probe: ("CHECK", lambda a: [a.server]),
+    CloseIdle: ("SHUT_IDLE", lambda a: [a.server]),
+    Tell: ("POST", lambda a: [_EVERY_PEER if a.receiver is None else a.receiver, a.payload.hex()]),
+    Follow: ("FOLLOW", lambda a: [a.wanted]),
+    FetchList: ("REFRESH", lambda a: []),
+    Log: ("REMARK", lambda a: [a.text]),
+}
+
+
+def _write_action(who: str, action: Action) -> str:
+    name, values = _ACTIONS[type(action)]
+    return json.dumps([name, who, *values(action)], separators=(",", ":"))
+
+
+# ---------------------------------------------------------------------------------------------------
+# Batches
+
+
+class Adapter:
+    """Hosts independent balancers and plays batches through them."""
+
+    def __init__(self) -> None:
+        self._balancers: dict[str, Balancer] = {}
+        self._pages: dict[int, list[ListedServer]] = {}
+        self._now = 0
+        self._open = False
+        self._reply: list[str] = []
+
+    def line(self, text: str) -> list[str] | None:
+        """Take one line; at the end of a batch, give the lines of its reply."""
+        try:
+            message = json.loads(text)
+        except (ValueError, RecursionError):
+            raise WireError("this is not JSON") from None
+        if not isinstance(message, list) or not message:
+            raise WireError("a message must be an array that starts with its name")
+        name = message[0]
+        if name == "FRAME":
+            if self._open:
+                raise WireError("FRAME inside a batch")
+            self._need(message, 2)
+            self._now, self._open, self._reply = _whole(message[1]), True, []
+            return None
+        if not self._open:
+            raise WireError(f"{name!r:.60} outside a batch")
+        if name == "COMMIT":
+            self._open = False
+            return [*self._reply, '["DONE"]']
+        self._message(name, message)
+        return None
+
+    @staticmethod
+    def _need(message: list[Any], least: int) -> None:
+        if len(message) < least:
+            raise WireError(f"{message[0]} needs {least - 1} values, {len(message) - 1} came")
+
+    def _message(self, name: object, message: list[Any]) -> None:
+        if name == "PAGE":
+            self._need(message, 3)
+            if not isinstance(message[2], list):
+                raise WireError("the entries of a PAGE must be an array")
+            self._pages[_whole(message[1])] = [_listed(line) for line in message[2]]
+            return
+        if not isinstance(name, str) or name not in ("BEGIN", "EXIT", "TARGETS", *_EVENTS):
+            raise WireError(f"unknown message {name!r:.60}")
+        self._need(message, 2)
+        who = _text(message[1])
+        if name == "BEGIN":
+            self._need(message, 4)
+            try:
+                self._balancers[who] = Balancer(settings_from_wire(message[3]), _whole(message[2]))
+            except ValueError as nonsense:
+                raise WireError(f"settings: {nonsense}") from None
+            return
+        balancer = self._balancers.get(who)
+        if balancer is None:
+            raise WireError(f"{name} for {who!r:.60}, which has not begun")
+        if name == "EXIT":
+            del self._balancers[who]
+        elif name == "TARGETS":
+            self._need(message, 5)
+            self._play(who, balancer, self._targets(message))
+        else:
+            least, read = _EVENTS[name]
+            self._need(message, least)
+            self._play(who, balancer, read(message))
+
+    def _targets(self, message: list[Any]) -> ServersListed:
+        kind = _word(message[2], _LIST_KINDS)
+        if kind is ListKind.FAILED:
+            return ServersListed(kind)
+        page = self._pages.get(_whole(message[3]))
+        if page is None:
+            raise WireError(f"TARGETS names list {message[3]}, which was not given")
+        return ServersListed(kind, page, _whole(message[4]))
+
+    def _play(self, who: str, balancer: Balancer, event: Event) -> None:
+        try:
+            actions = balancer.handle(self._now, event)
+        except Exception as fault:  # the wire has a message for a defect of the decisions
+            self._reply.append(json.dumps(["INTERNAL_ERROR", who, f"{type(fault).__name__}: {fault}"[:500]]))
+            return
+        for action in actions:
+            self._reply.append(_write_action(who, action))
+
+
+def run(lines: Iterable[str], out: TextIO, err: TextIO) -> int:
+    """Play all lines; give the exit code."""
+    adapter = Adapter()
+    for number, text in enumerate(lines, 1):
+        try:
+            reply = adapter.line(text)
+        except WireError as bad:
+            err.write(f"line {number}: {bad}\n")
+            return 2
+        if reply is not None:
+            out.write("\n".join(reply) + "\n")
+            out.flush()
+    return 0
+
+
+def main() -> int:
+    sys.stdin.reconfigure(encoding="utf-8", errors="replace")  # type: ignore[union-attr]
+    sys.stdout.reconfigure(encoding="utf-8", newline="\n")  # type: ignore[union-attr]
+    return run(sys.stdin, sys.stdout, sys.stderr)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ladderhold/balancer.py
@@ -0,0 +1,1331 @@
+"""All decisions of a sidecar balancer, by best-of-k with redraw.
+
+Types, events and actions: ladderhold/interface.py.  The reasons for each departure: docs/design.md.
+
+Per request: draw k random distinct ready servers and send to the one with the fewest of this balancer's own
+requests in flight; on a full answer draw again, wider.  Every attempt leaves through `_send` and every final
+answer through `_finish`; those two enforce the rules, whatever the code around them decides.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ladderhold.interface import (
+    Action,
+    AnswerStarted,
+    AttemptEnded,
+    Cancel,
+    CloseIdle,
+    Discovery,
+    Event,
+    Fail,
+    Follow,
+    Group,
+    ListedServer,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    Repeat,
+    ReportSource,
+    RequestArrived,
+    RequestGone,
+    Send,
+    ServersListed,
+    ServerState,
+    ServiceClass,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+
+# -- Constants: ratios of what the settings give or of what was observed ------------------------------
+
+DRAWN = 4  # k: counts are mostly small here, where two looks find too little
+REACH = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
+REACH_PER_BUSY = 1.0  # and from one more for each request in flight: as many again may be empty
+PROBE_SPEND = 0.01  # probes for a request may cost this part of its worth: they settle ties between zeros
+PROBE_WAIT = 3.0  # a tie waits this many usual probe times for its probes
+PROBE_AIMS = 0.05  # and never longer than this part of the aim: the usual probe time is not known at first
+BEARABLE_SPENT = 0.7  # a probed server may be expected to take this part of the aim, for the most worthy
+BEARABLE_SPREAD = 0.5  # and this much less of it for the least worthy
+FIT_STEP = 0.03  # what a held request costs in time is fitted over the last thirty answers or so
+FIT_CLIP = (
+    3.0  # one answer counts for at most this many times what was expected: a jam that passes is no rule
+)
+FIT_FLOOR = 0.2  # but for this part of the aim at any rate
+FIT_LEAST = 5.0  # fewer say nothing
+BEAT_AIMS = 0.1  # while anything is out, a timer falls due this often, so that an own stall is noticed
+STALL_BEATS = 1.0  # a timer later than this many beats tells of a stall
+TRICKLE = 0.01  # part let in where probes tell of overload: what they foretell must stay checked
+PROBE_STEP = 0.1  # the usual probe time follows the last ten or so
+TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
+COLD_SHARE = 0.15  # part of the pushing-over load at which a cold budget fills: its true size is not told
+COLD_BURST = 0.18  # part of that load that may come at once
+RATE_SPANS = 2.0  # rates are averaged over this many fall times
+ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
+ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
+REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
+CROSS_GAIN = 2.0  # a crossing must spare this many times its price, in parts of the aim
+CROSS_LEAST = 0.1  # less than this part of the aim is lost in what is expected: such crossings go by odds
+REMOTE_EVEN = 0.3  # the own zone this far behind the others' pace, all zones are drawn alike
+EXTRA_PER_REQUEST = 0.2  # further attempts after failures, for each first attempt: no retry storms
+EXTRA_SAVED = 50.0  # first attempts whose allowance may be saved up
+STRIKES = 2  # failures in a row, none answered between, that eject a server
+EJECT_AIMS = 2.0  # first ejection lasts this many of the longest aim; it doubles with each failed trial
+EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
+SILENT_MOST = 0.34  # no more than this share is ejected for silence alone: more is overload, not sickness
+EJECTED_MOST = 0.6  # never more than this share of the list is ejected: the rest would drown
+PATIENCE = 2.5  # usual times (at this server's pace) after which an attempt is overdue
+PATIENCE_AIMS = 0.1  # but never less than this part of the aim: short times are all jitter
+QUIET_PEERS = 4  # answers from others, since the overdue attempt left, that make its server's silence its own
+SILENCE = 2.0  # overdue again by this factor, an unanswering server is taken for silent
+SILENT_AIMS = 0.5  # but never before this part of the aim
+GHOST_LIFE = 1.0  # an attempt given up on counts as in flight for as long again as it was waited for
+HEAVY_POWER = 3.0  # of pace, in the odds for a request of four times the mean cost or more
+PACE_STEP = 0.1  # a server's pace follows its last ten answers or so, or fewer where few are in flight
+PACE_CLIP = 4.0  # one answer counts for at most this many usual ones: heavy requests say little of a server
+NORM_STEP = 0.02  # the usual time and cost of a class follow its last fifty requests or so
+UNSEEN_AIMS = 0.3  # the usual time before any answer, in aims
+AIM_SPENT = 0.3  # the typical answer may take this part of its aim; beyond that the fleet is overloaded
+AIM_SPENT_FEW = 0.4  # or this, where so few are in flight that much of the median is chance
+FLOOR_ROOM = 1.2  # but never less than this many times what it takes when the fleet is idle
+AIM_SPENT_MOST = 0.5  # and never more than this part of the aim, or overload would pass for the usual
+SPENT_MOST = 1.0  # the median is not followed past the aim: from there it must find back
+LEAST_WINDOW = 0.1  # a trickle passes at any time, so that relief is seen
+MANY = 8.0  # fewer own requests in flight than this are chance for a good part
+STRETCH_MOST = 4.0  # so the fewer, the longer loads are averaged and the larger the steps, up to this
+SPARSE_AIMS = 4.0  # where few requests come, overload is judged by counts over this many of the longest aim
+SPARSE_ROOM = 1.2  # and this many times what was answered in time is let in
+SPARSE_PRIOR = 2.0  # requests taken as answered in time beforehand: fewer are chance
+LATE_ALLOWED = 0.05  # nor is a fleet overloaded that answers all but this part in time
+LATE_STEP = 0.02  # of the last fifty answers or so
+CORES_BUSY = 0.85  # while servers report their cores less busy than this, there is room for more
+CORES_IDLE = 0.6  # cores this idle tell that late answers come from a few slow servers
+CORES_SATURATED = 0.95  # cores this busy tell of overload before late answers do
+CORES_STEP = 0.1  # of the last ten reports or so
+FLOOR_CREEP = 0.02  # the idle time may rise by this part of the median's step at each answer
+FLOOR_CREEP_PRESSED = 0.002  # and hardly while refusing
+MEDIAN_STEP = 0.04  # step of the running median: some 25 answers turn it round
+LOST_SPENT = 2.0  # what a full answer counts as, in aims: it would have been late by far
+WINDOW_AIMS = 0.5  # at twice the level the window shrinks e-fold in this many of the longest aim
+MIX_AIMS = 4.0  # what is asked by class and tenant is averaged over this many of the longest aim
+FREE = 0.5  # up to this part of the window all are let in, and the window does not grow
+STEEP = 4.0  # pressure at a full window: of the typical requests one in fifty is let in
+SLANT = 2.0  # the least worthy feel this many times the pressure, the most worthy almost none
+
+# -- Records ------------------------------------------------------------------------------------------
+
+
+Flow = tuple[str, str | None]  # the class and tenant of a request
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """What this balancer knows of one server."""
+
+    name: str
+    number: int  # in the order heard of
+    place: float  # chance, drawn once: this balancer's order of the servers
+    zone: str = ""
+    cell: int = 0
+    nominal: float = 1.0
+    pace: float = 1.0  # how long it takes, relative to the usual
+    state: ServerState = ServerState.GONE
+    started_at: int | None = None
+    cold_since: int | None = None
+    allowance: float = 0.0  # of a cold server: what may be sent to it now, in requests of mean cost
+    allowance_at: int = 0
+    in_flight: int = 0
+    idle: int = 0  # connections that are open and carry nothing, by this balancer's own reckoning
+    idle_since: int = 0
+    close_due: int = 0  # when they are to be closed
+    reported: float | None = None  # requests it holds, by its last probe; None: that was not answered
+    probed_at: int | None = None  # when the probe that is out left
+    ghosts: list[int] = field(default_factory=list)  # when each attempt given up on stops counting
+    last_answer_at: int = -1
+    strikes: int = 0
+    ejections: int = 0
+    ejected_until: int | None = None  # None: not ejected
+    turned_away: dict[Flow, tuple[int, int]] = field(default_factory=dict)  # until when, how often in a row
+    trial: Attempt | None = None  # the single attempt that may bring it back
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt of a request; it is pending until it has an outcome."""
+
+    index: int
+    server: Server
+    sent_at: int
+    absent_before: int  # how long the balancer had stalled by then
+    answers_before: int  # how many answers had come by then, from all servers
+    pending: bool = True
+    may_have_run: bool = True  # until an outcome proves that it did not
+    started: bool = False
+    held: float | None = None  # what its server held when it was sent, by a probe
+    felt: bool = False  # whether its lateness was counted as a sign of overload
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """A request taken; it is kept until it is answered and its last attempt has ended."""
+
+    ident: int
+    kind: ServiceClass
+    answer_by: int
+    cost: float  # relative to the mean of its class
+    flow: Flow
+    spread: bool  # whether it is drawn over all zones
+    size: int = 0  # cost by powers of two
+    attempts: list[Attempt] = field(default_factory=list)
+    tried: list[Server] = field(default_factory=list)  # servers that failed it, full ones included
+    said_full: int = 0
+    answered: bool = False
+    asked: list[Server] = field(default_factory=list)  # the tied candidates that are probed for it
+    asked_until: int = 0
+    standing: float = 0.5  # the part of the traffic that is worth less
+    queue: Queue | None = None  # of its key, where requests of its class run in turn
+
+    def __post_init__(self) -> None:
+        self.size = max(-3, min(math.frexp(self.cost)[1], 4))
+
+    def is_out(self) -> bool:
+        """Whether an attempt has not ended yet."""
+        return any(each.pending for each in self.attempts)
+
+    def is_over(self) -> bool:
+        """Whether it is answered and nothing of it is out."""
+        return self.answered and not self.is_out()
+
+
+@dataclass(slots=True, eq=False)
+class Queue:
+    """The requests of one key that run in turn, as they were taken; kept while the key is in use or rests."""
+
+    key: int
+    requests: deque[Request] = field(default_factory=deque)
+    rests_until: int = 0
+
+
+# -- The balancer -------------------------------------------------------------------------------------
+
+
+class Balancer:
+    """The decisions of one instance.  Feed it events in order; carry out the actions it returns in order."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self._settings = settings
+        self._random = random.Random(seed)
+        self._classes = {each.name: each for each in settings.classes}
+        self._tenants = {each.name: each for each in settings.tenants}
+        self._all_shares = sum(each.share for each in settings.tenants) or 1.0
+        self._longest_aim = max(each.aim_us for each in settings.classes)
+        self._now = 0
+        self._actions: list[Action] = []
+        self._servers: dict[str, Server] = {}  # every server ever listed
+        self._numbered: list[Server] = []  # by number
+        self._ready: list[Server] = []
+        self._near: list[Server] = []  # of these, the ones in the own zone
+        self._requests: dict[int, Request] = {}
+        self._queues: dict[int, Queue] = {}  # by key
+        self._moved: deque[Queue] = deque()  # queues whose head may have changed
+        self._asking: dict[int, Request] = {}  # requests that wait for probes, by number
+        self._by_held = Fit()  # time, in usual times, by what the server held
+        self._probe_time: float | None = None  # the usual time of a probe
+        self._probes = self._probes_a_request()
+        self._crossing = CROSS_GAIN * settings.prices.cross_zone
+        self._connecting = CROSS_GAIN * settings.prices.handshake
+        self._near_first = self._probes > 1 and self._crossing >= CROSS_LEAST
+        self._in_order = any(each.by_arrival for each in settings.classes)
+        full_proves = () if settings.rules.late_shedding else (Outcome.FULL,)
+        self._proves_unrun = (Outcome.DIAL_FAILED, Outcome.UNSENT, *full_proves)
+        # Of each entry: due, order, request (or key, or _ASK), attempt (or _WHOLE, or _TURN).
+        self._agenda: list[tuple[int, int, int, int]] = []
+        self._agenda_order = 0
+        self._timer_due: int | None = None
+        self._beat = max(int(BEAT_AIMS * min(each.aim_us for each in settings.classes)), settings.tick_us)
+        self._beat_due = 0  # when the next beat falls due, while anything is out
+        self._back_at = -1  # when this balancer last came back from a stall of its own
+        self._absent_us = 0  # how long it has stalled, over all its stalls
+        self._begun = False
+        self._failed_calls = 0
+        self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
+        self._pending = 0  # attempts out
+        self._stuck = 0  # of these, at ejected servers
+        self._ghosts: list[int] = []  # when each attempt given up on stops counting, soonest first
+        self._ejected: list[Server] = []
+        self._remote = 1.0  # odds of a server in another zone, as of _remote_at
+        self._remote_at = -1
+        self._bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
+        self._mean_size = 1.0
+        self._bearable_at = -1
+        self._answers = 0  # answers so far, from all servers
+        self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
+        self._longest_try: dict[str, int] = {}  # the most time left that a request of a class came with
+        self._mean_cost: dict[str, float] = {}
+        self._arrivals = Rate(RATE_SPANS * settings.rules.fall_us)
+        self._served_warm = Rate(RATE_SPANS * settings.rules.fall_us)
+        self._norms: dict[tuple[str, int], float] = {}  # usual time of a class and size, over all servers
+        self._spent = 0.0  # running median of the part of its aim that an answer takes
+        self._cores: float | None = None  # how busy servers report their cores, on average; None: not at all
+        self._late = 0.0  # part of the answers that come after their aim
+        self._floor: float | None = None  # the least that median has been of late
+        self._window = math.inf  # how many own requests in flight the fleet bears in time
+        self._served_aims = Rate(self._longest_aim)  # time allowed to what was answered, per time
+        span = SPARSE_AIMS * self._longest_aim
+        self._in_time, self._too_late, self._shed = Rate(span), Rate(span), Rate(span)
+        self._bound = False  # whether the window refused anything since it was last sized
+        self._mean_load = 0.0  # own requests in flight, averaged
+        self._load_at = 0
+        self._sized_at = 0
+        self._mix: dict[tuple[str, str | None], Mix] = {}
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        """Take one event at clock time `now`; return what to do, in order."""
+        self._now = now
+        self._actions = []
+        self._follow_load()
+        self._notice_stall()
+        if not self._begun:
+            self._begun = True
+            self._ask()
+        match event:
+            case AttemptEnded():
+                self._attempt_ended(event)
+            case RequestArrived():
+                self._request_arrived(event)
+            case TimerFired():
+                self._timer_fired()
+            case ServersListed():
+                self._servers_listed(event)
+            case RequestGone():
+                self._request_gone(event)
+            case AnswerStarted():
+                self._answer_started(event)
+            case ProbeEnded():
+                self._probe_ended(event)
+            case _:
+                pass  # messages: none are sent, so none are awaited
+        self._take_turns()
+        self._keep_beat()
+        self._arm_timer()
+        return self._actions
+
+    def _notice_stall(self) -> None:
+        """Notice that this balancer itself stood still: a timer of its own came far too late.
+
+        What it finds on its return came at times it cannot tell, so nothing is learned from them: else it
+        would take its own absence for slow servers, eject them and refuse what they could serve.
+        """
+        late = self._now - self._beat_due
+        if self._beat_due and late > STALL_BEATS * self._beat:
+            self._absent_us += late
+            self._back_at = self._now
+        if late >= 0:
+            self._beat_due = 0
+
+    def _keep_beat(self) -> None:
+        if self._pending and not self._beat_due:
+            self._beat_due = self._now + self._beat
+            self._schedule(self._beat_due, _BEAT, _WHOLE)  # when it fires, it has done its work
+
+    # -- The server list ------------------------------------------------------------------------------
+
+    def _ask(self) -> None:
+        """Follow the list where it must be asked for.
+
+        A call that is never answered is made again: an instance may not pass `ask_within_us` unheard.
+        """
+        if self._settings.discovery is Discovery.ON_REQUEST:
+            self._actions.append(Follow(True))
+            self._ask_in(ASK_AGAIN_MOST * self._settings.rules.ask_within_us)
+
+    def _ask_in(self, wait: float) -> None:
+        """Ask after this wait, in place of any earlier plan."""
+        self._ask_due = self._now + int(wait)
+        self._schedule(self._ask_due, _ASK, _WHOLE)
+
+    def _ask_again_later(self) -> None:
+        """After a failed call: wait twice as long each time, with jitter, so that instances spread out."""
+        allowed = self._settings.rules.ask_within_us
+        wait = min(ASK_AGAIN * allowed * 2**self._failed_calls, ASK_AGAIN_MOST * allowed)
+        self._failed_calls = min(self._failed_calls + 1, 8)
+        self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
+
+    def _servers_listed(self, event: ServersListed) -> None:
+        if event.kind is ListKind.FAILED:
+            self._ask_again_later()
+            return
+        if event.kind is not ListKind.REMEMBERED:
+            self._failed_calls = 0
+            self._ask_due = None
+        if event.kind is not ListKind.CHANGES:
+            listed = {line.server for line in event.servers}
+            for server in self._servers.values():
+                if server.name not in listed:
+                    server.state = ServerState.GONE
+        for line in event.servers:
+            self._server_listed(line)
+        self._ready = [each for each in self._servers.values() if each.state is ServerState.READY]
+        self._ready.sort(key=lambda each: each.place)
+        self._near = [each for each in self._ready if each.zone == self._settings.zone]
+        mean_size = sum(each.nominal for each in self._ready) / max(len(self._ready), 1)
+        for server in self._ready:
+            if server.pace <= 0.0:  # until answers tell, a server is as quick as its nominal size
+                server.pace = mean_size / server.nominal if server.nominal > 0.0 else 1.0
+
+    def _server_listed(self, line: ListedServer) -> None:
+        server = self._servers.get(line.server)
+        if server is None:
+            server = self._servers[line.server] = Server(
+                line.server, len(self._servers), self._random.random()
+            )
+            self._numbered.append(server)
+        server.zone = line.zone
+        server.cell = line.cell
+        if server.state is ServerState.GONE or line.nominal != server.nominal:
+            server.pace = 0.0  # to be set by its nominal size
+        server.nominal = max(line.nominal, 0.0)
+        server.state = line.state
+        if line.started_at is not None and line.started_at != server.started_at:
+            server.started_at = line.started_at
+            self._turned_cold(server, line.started_at)
+            if server.ejected_until is not None and line.state is ServerState.READY:
+                self._readmit(server)  # a new process: what the old one did is history
+
+    # -- Requests -------------------------------------------------------------------------------------
+
+    def _request_arrived(self, event: RequestArrived) -> None:
+        kind = self._classes.get(event.service_class)
+        if kind is None:
+            # A class that the settings do not name: the least is assumed of it.
+            allowed = max(event.remaining_us, 1)
+            kind = ServiceClass(event.service_class, allowed, allowed, by_arrival=self._in_order)
+        self._arrivals.add(self._now, 1.0)
+        self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
+        answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
+        cost = self._relative_cost(kind, event.cost_us)
+        request = Request(
+            event.request, kind, answer_by, cost, (kind.name, event.tenant), not self._near_first
+        )
+        self._requests[event.request] = request
+        self._schedule(answer_by, event.request, _WHOLE)
+        if self._overloaded_for(request, event.tenant) or self._is_stale(kind, event.remaining_us):
+            self._finish(request)
+        elif kind.by_arrival and event.key is not None:
+            self._line_up(request, event.key)
+        else:
+            self._place(request)
+
+    def _is_stale(self, kind: ServiceClass, remaining_us: int) -> bool:
+        """Whether a request waited out its aim in an own stall, and a late answer is worth nothing.
+
+        A try starts with the same time at all clients, more or less: what is missing of it was waited.
+        """
+        longest = max(self._longest_try.get(kind.name, 0), remaining_us)
+        self._longest_try[kind.name] = longest
+        return self._now == self._back_at and kind.late_worth <= 0.0 and longest - remaining_us >= kind.aim_us
+
+    def _relative_cost(self, kind: ServiceClass, cost_us: int | None) -> float:
+        if not cost_us or cost_us < 0:
+            return 1.0
+        mean = self._mean_cost.get(kind.name, float(cost_us))
+        self._mean_cost[kind.name] = mean + NORM_STEP * (cost_us - mean)
+        return cost_us / mean if mean > 0 else 1.0
+
+    def _place(self, request: Request) -> None:
+        """Send the request to the best of k, or answer it where nothing is left to try."""
+        server, tied = self._choose(request)
+        if tied:
+            self._ask_tied(request, tied)
+        elif server is None or not self._send(request, server):
+            if not request.is_out():
+                self._finish(request)
+
+    def _request_gone(self, event: RequestGone) -> None:
+        request = self._requests.get(event.request)
+        if request is not None and not request.answered:
+            self._close(request)
+
+    def _answer_started(self, event: AnswerStarted) -> None:
+        request = self._requests.get(event.request)
+        if request is not None and event.attempt < len(request.attempts):
+            request.attempts[event.attempt].started = True
+
+    # -- Order: where a class asks for it, requests with one key run one at a time --------------------
+
+    def _line_up(self, request: Request, key: int) -> None:
+        queue = self._queues.get(key)
+        if queue is None:
+            queue = self._queues[key] = Queue(key)
+        request.queue = queue
+        queue.requests.append(request)
+        self._moved.append(queue)
+
+    def _take_turns(self) -> None:
+        """Place each request that has come to the head of its queue; one at rest is looked at again later.
+
+        A queue is forgotten once it is empty and rested, so keys that are not in use cost nothing.
+        """
+        while self._moved:
+            queue = self._moved.popleft()
+            while queue.requests and queue.requests[0].is_over():
+                queue.requests.popleft()
+            if self._now < queue.rests_until:
+                self._schedule(queue.rests_until, queue.key, _TURN)
+            elif not queue.requests:
+                self._queues.pop(queue.key, None)
+            elif not (head := queue.requests[0]).attempts and not head.answered and not head.asked:
+                self._place(head)  # if that ends it, its queue moves once more
+
+    def _has_turn(self, request: Request) -> bool:
+        """Whether the order of its key lets this request out now; its own further attempts may always go."""
+        queue = request.queue
+        if queue is None or request.attempts:
+            return True
+        while queue.requests and queue.requests[0].is_over():
+            queue.requests.popleft()
+        return queue.requests[0] is request and self._now >= queue.rests_until
+
+    # -- Overload: refuse early, the least worthy first -----------------------------------------------
+
+    def _feel(self, spent: float) -> None:
+        """Follow how much of its aim the typical answer takes, and size the window by it.
+
+        A median, so that a few slow servers or heavy requests are not taken for an overloaded fleet.
+        """
+        (self._in_time if spent <= 1.0 else self._too_late).add(self._now, 1.0)
+        if self._floor is None:
+            self._spent = self._floor = min(spent, AIM_SPENT)
+        stretch = self._stretch()
+        step = stretch * MEDIAN_STEP * (1.0 if spent > self._spent else -1.0)
+        self._spent = max(0.0, min(self._spent + step, SPENT_MOST))
+        self._late += stretch * LATE_STEP * ((1.0 if spent > 1.0 else 0.0) - self._late)
+        load = self._load()
+        creep = FLOOR_CREEP if load <= FREE * self._window else FLOOR_CREEP_PRESSED
+        self._floor = min(self._floor + creep * MEDIAN_STEP, max(self._spent, MEDIAN_STEP))
+        self._size_window(load)
+
+    def _stretch(self) -> float:
+        """How much longer than in a busy balancer it takes here to tell a change from chance."""
+        return max(1.0, min(MANY / max(self._mean_load, 1e-9), STRETCH_MOST))
+
+    def _follow_load(self) -> None:
+        lapse = self._now - self._load_at
+        if lapse > 0:
+            self._load_at = self._now
+            span = self._stretch() * self._longest_aim
+            load = self._load()
+            self._mean_load = min(self._mean_load, max(load, self._window, 1.0))  # more delays relief
+            self._mean_load += (load - self._mean_load) * (1.0 - math.exp(-lapse / span))
+
+    def _size_window(self, load: int) -> None:
+        """Shrink or grow the window by how far the typical answer is from the allowed level.
+
+        In flight is what the window bounds, not arrivals: a surge then meets it at once, and slower servers
+        let in less by themselves.  By Little's law, what is answered at this rate within the allowed level
+        needs rate times time in flight; below that the window never shrinks, or late news would shut it.
+        """
+        stretch = self._stretch()
+        lapse = min(self._now - self._sized_at, stretch * self._longest_aim / 4)
+        self._sized_at = self._now
+        level = min(max(AIM_SPENT, FLOOR_ROOM * (self._floor or 0.0)), AIM_SPENT_MOST)
+        # The fewer answers there are, the more of the median is chance: it must be further off to count.
+        chance = (stretch - 1.0) / (STRETCH_MOST - 1.0)
+        level = max(level, AIM_SPENT + chance * (AIM_SPENT_FEW - AIM_SPENT))
+        excess = (self._spent - level) / level
+        if self._cores is not None and stretch > 1.0:
+            # Late answers from servers with idle cores tell of a few slow ones, not of too many requests.
+            # A busy balancer sees so by itself, and on crowded servers reports tell it too late.
+            excess = min(excess, (self._cores - CORES_BUSY) / (1.0 - CORES_BUSY))
+        excess = max(-1.0, min(excess, 1.0))
+        saturated = self._cores is not None and self._cores >= CORES_SATURATED
+        if excess > 0.0 and self._late < LATE_ALLOWED and not saturated:
+            return  # slower than usual, yet in time
+        if excess > 0.0:
+            self._window = min(self._window, max(load, self._mean_load / FREE))
+        elif not self._bound:
+            return  # it refused nothing, so nothing says that it is too small
+        self._bound = False
+        change = math.exp(-excess * lapse / (WINDOW_AIMS * self._longest_aim))
+        self._served_aims.over(stretch * self._longest_aim)
+        borne = level * self._served_aims.per_us(self._now)
+        self._window = max(self._window * change, min(borne, self._window), LEAST_WINDOW)
+
+    def _load(self) -> int:
+        """Own requests in flight, with those given up on, at servers that are not ejected.
+
+        Running counts, not a sum over the list: it is asked for at every event.
+        """
+        while self._ghosts and self._ghosts[0] <= self._now:
+            heapq.heappop(self._ghosts)
+        return self._pending - self._stuck + len(self._ghosts)
+
+    def _fill(self) -> float:
+        """How much of the window is taken; where it holds few, the mean counts, as two at once are chance."""
+        certain = min(self._window / MANY, 1.0)
+        return (self._mean_load + certain * (self._load() - self._mean_load)) / self._window
+
+    def _overloaded_for(self, request: Request, tenant: str | None) -> bool:
+        """Whether to refuse a new request: likelier under more pressure, and for less worth.
+
+        Guards against collapse: a fleet that answers all too late serves nobody, and clients repeat
+        what fails late.  As the window fills, the part let in falls by powers, sooner for the less worthy.
+        """
+        kind = request.kind
+        mine = self._mix.get((kind.name, tenant))
+        if mine is None:
+            mine = self._mix[(kind.name, tenant)] = Mix(kind, tenant, Rate(MIX_AIMS * self._longest_aim))
+        mine.rate.add(self._now, 1.0)
+        if self._probes > 1:
+            request.standing = self._standing(mine)
+            return False  # probes will tell
+        if max(self._arrivals.per_us(self._now) * self._longest_aim, self._load()) < MANY / 2:
+            return self._sheds_by_count(self._standing(mine))
+        fill = self._fill()
+        if fill <= FREE:
+            return False
+        pressure = STEEP * (fill - FREE) / (1.0 - FREE)
+        let_in = math.exp(-SLANT * pressure * (1.0 - self._standing(mine)))
+        if fill < 1.0 and self._random.random() < let_in:
+            return False
+        self._bound = True
+        return True
+
+    def _sheds_by_count(self, standing: float) -> bool:
+        """Whether to refuse where few requests come: by counts over a fixed time, so that relief is seen."""
+        if self._cores is not None and self._cores < CORES_IDLE:
+            return False  # late answers from servers with idle cores tell of a few slow ones
+        span = SPARSE_AIMS * self._longest_aim
+        in_time = self._in_time.per_us(self._now) * span + SPARSE_PRIOR
+        missed = (self._too_late.per_us(self._now) + self._shed.per_us(self._now)) * span
+        # What is out tells of a surge before any of it is late; by itself it may be a burst and no more.
+        short = 1.0 - SPARSE_ROOM * in_time / (in_time + missed + min(missed, 1.0) * self._load())
+        if short > 0.0 and self._random.random() < 2.0 * short * (1.0 - standing):
+            self._shed.add(self._now, 1.0)
+            return True
+        return False
+
+    def _standing(self, mine: Mix) -> float:
+        """The part of the traffic that is worth less, counting half of what is worth the same.
+
+        A request is worth what its class is, less what its tenant asks beyond its share.  Sidecars see
+        different parts of the traffic, so only the tenants' proportions are compared.
+        """
+        mixes = list(self._mix.values())
+        rates = [each.rate.per_us(self._now) for each in mixes]
+        all_asked = sum(rates)
+        asked: dict[str | None, float] = {}
+        for each, rate in zip(mixes, rates, strict=True):
+            asked[each.tenant] = asked.get(each.tenant, 0.0) + rate
+        worths = [self._worth(each, asked[each.tenant], all_asked) for each in mixes]
+        own = worths[mixes.index(mine)]
+        below = sum(rate for rate, worth in zip(rates, worths, strict=True) if worth < own)
+        same = sum(rate for rate, worth in zip(rates, worths, strict=True) if worth == own)
+        return (below + 0.5 * same) / all_asked if all_asked > 0.0 else 0.5
+
+    def _worth(self, mix: Mix, asked: float, all_asked: float) -> float:
+        tenant = self._tenants.get(mix.tenant or "")
+        if tenant is None or asked <= 0.0:
+            return mix.kind.worth
+        inside = min(1.0, all_asked * tenant.share / self._all_shares / asked)
+        return mix.kind.worth * (inside + (1.0 - inside) * self._settings.over_share_worth)
+
+    # -- The draw -------------------------------------------------------------------------------------
+
+    def _choose(self, request: Request) -> tuple[Server | None, list[Server]]:
+        """Best of k: of k random distinct servers, the one with the fewest own requests in flight.
+
+        Gives those that tie with it too, where probes are cheap enough to settle that.
+        """
+        trial = self._trial_due(request)
+        if trial is not None:
+            return trial, []
+        pool: list[Server] = []
+        request.spread = request.spread or self._now == self._back_at
+        if not request.spread:
+            pool = self._within_reach(self._near, request)
+            request.spread = len(pool) < 2
+        if request.spread:
+            pool = self._within_reach(self._ready, request)
+        if not pool:
+            return None, []
+        if self._remote_at != self._now:
+            self._remote_at, self._remote = self._now, 1.0 if self._near_first else self._weigh_zones()
+        power = min(max(1.0, float(request.size)), HEAVY_POWER)
+        odds = [
+            self._odds(each, power) * (1.0 if each.zone == self._settings.zone else self._remote)
+            for each in pool
+        ]
+        best: Server | None = None
+        best_rank = (0, 0.0)
+        drawn = self._drawn(pool, odds, DRAWN << request.said_full)
+        for server in drawn:
+            busy = self._busy(server)
+            if best is None or (busy, server.pace) < best_rank:
+                best, best_rank = server, (busy, server.pace)
+        if self._probes > 1 and self._now != self._back_at:  # others that stalled with it would hear the same
+            return best, sorted(drawn, key=self._busy)[: self._probes]
+        return best, []
+
+    def _within_reach(self, servers: list[Server], request: Request) -> list[Server]:
+        """The first eligible servers in this balancer's own order, as many as its traffic can know.
+
+        Guards against a large fleet seen from many small balancers: each would hold a connection to each
+        server, more than servers accept, and learn next to nothing of any.  A busy balancer reaches all.
+        """
+        reach = self._reach()
+        pool: list[Server] = []
+        shut: list[Server] = []
+        for each in servers:
+            if self._eligible(each, request):
+                away = each.turned_away.get(request.flow)
+                (pool if away is None or away[0] <= self._now else shut).append(each)
+                if len(pool) >= reach:
+                    break
+        return pool if len(pool) >= min(DRAWN, reach) else pool + shut[: reach - len(pool)]
+
+    def _reach(self) -> int:
+        return int(REACH + REACH_PER_BUSY * self._mean_load)
+
+    def _busy(self, server: Server) -> int:
+        """Own requests in flight at a server, with those given up on: they may well run on there.
+
+        Guards against a slow or hung server that looks empty because its attempts were called off.
+        """
+        if server.ghosts:
+            server.ghosts = [until for until in server.ghosts if until > self._now]
+        return server.in_flight + len(server.ghosts)
+
+    def _drawn(self, pool: list[Server], odds: list[float], count: int) -> list[Server]:
+        """Draw distinct servers by their odds; the order is random too, so the first of equals is chance."""
+        drawn = []
+        left = list(range(len(pool)))
+        total = sum(odds)
+        for _ in range(min(count, len(pool))):
+            point = self._random.random() * total
+            at = 0
+            while at < len(left) - 1 and point >= odds[left[at]]:
+                point -= odds[left[at]]
+                at += 1
+            index = left.pop(at)
+            total -= odds[index]
+            drawn.append(pool[index])
+        return drawn
+
+    def _odds(self, server: Server, power: float) -> float:
+        """Slower servers are drawn less: with few requests most counters are zero, and the draw decides.
+
+        Still less for heavy requests, which only quick servers can answer in time.
+        """
+        pace = math.pow(max(server.pace, 1.0 / PACE_CLIP), power)
+        return 1.0 / pace if server.cold_since is None else self._warmth(server) / pace
+
+    def _weigh_zones(self) -> float:
+        """Odds of servers in other zones: less while the own zone is as quick as theirs.
+
+        Spares crossings without the trap of a zone that has more traffic than servers: as the own zone's pace
+        falls behind, or answers come late anywhere, the odds even out.
+        """
+        if self._settings.prices.cross_zone <= 0.0 or self._late >= LATE_ALLOWED or self._fill() > FREE:
+            return 1.0  # room anywhere is worth more than a crossing
+        near = far = 0.0
+        near_count = far_count = 0
+        for each in self._ready:
+            if each.ejected_until is not None:
+                continue
+            if each.zone == self._settings.zone:
+                near += each.pace
+                near_count += 1
+            else:
+                far += each.pace
+                far_count += 1
+        if not near_count or not far_count or far <= 0.0:
+            return 1.0
+        behind = (near / near_count) / (far / far_count) - 1.0
+        return max(REMOTE_LEAST, min(behind / REMOTE_EVEN, 1.0))
+
+    def _eligible(self, server: Server, request: Request) -> bool:
+        if server.ejected_until is not None:
+            return False
+        if request.attempts:
+            if server in request.tried or not self._in_group(request, server):
+                return False
+            if any(each.pending and each.server is server for each in request.attempts):
+                return False  # a second copy goes elsewhere
+        return server.cold_since is None or self._cold_room(server, request.cost)
+
+    # -- Probes: what settles a tie -------------------------------------------------------------------
+
+    def _probes_a_request(self) -> int:
+        settings = self._settings
+        probed = settings.report_source is ReportSource.PROBES and settings.limits.may_probe
+        if not probed or "inflight" not in settings.report_columns:
+            return 0
+        return int(min(PROBE_SPEND / max(settings.prices.probe, 1e-9), DRAWN))
+
+    def _ask_tied(self, request: Request, tied: list[Server]) -> None:
+        """Ask tied candidates how many requests they hold, and hold the request till they say.
+
+        With many balancers of few requests nearly all counters are zero, and the tie-break is the whole
+        choice.  A server that does not answer in the time that others do is passed over.
+        """
+        wait = PROBE_AIMS * request.kind.aim_us
+        if self._probe_time is not None:
+            wait = min(wait, PROBE_WAIT * self._probe_time)
+        request.asked = tied
+        request.asked_until = self._now + int(wait)
+        self._asking[request.ident] = request
+        for server in tied:
+            if server.probed_at is None:
+                server.probed_at = self._now
+                self._actions.append(Probe(server.name))
+        self._schedule(request.asked_until, request.ident, _ASKED)
+
+    def _probe_ended(self, event: ProbeEnded) -> None:
+        server = self._servers.get(event.server)
+        if server is None:
+            return
+        server.probed_at = None
+        server.reported = None
+        if event.outcome is Outcome.DELIVERED:
+            usual = self._probe_time if self._probe_time is not None else float(event.elapsed_us)
+            self._probe_time = usual + PROBE_STEP * (event.elapsed_us - usual)
+            if event.report is not None:
+                server.reported = event.report.get("inflight")
+        for request in list(self._asking.values()):
+            if all(each.probed_at is None for each in request.asked):
+                self._settle(request)
+
+    def _settle(self, request: Request) -> None:
+        """Send a request whose probes are back, or were waited for long enough, to the least loaded."""
+        self._asking.pop(request.ident, None)
+        tied, request.asked = request.asked, []
+        if request.answered:
+            return
+        best: Server | None = None
+        best_rank = (0, 0.0, 0.0)
+        for server in tied:
+            if server.probed_at is None and server.reported is not None and self._eligible(server, request):
+                away = self._crossing if server.zone != self._settings.zone else 0.0
+                if not server.idle or self._now - server.idle_since >= self._settings.limits.idle_close_us:
+                    away += self._connecting
+                held = (server.reported + 1.0) * server.pace / self._warmth(server)  # cold ones look idle
+                rank = (self._busy(server), (self._by_held.at(held) or 0.0) + away, held)
+                if best is None or rank < best_rank:
+                    best, best_rank = server, rank
+        if not request.spread:
+            here = None if best is None or best.reported is None else self._by_held.at(best.reported)
+            idle = self._by_held.at(0.0)
+            if best is None or (here is not None and idle is not None and here - idle > self._crossing):
+                request.spread = True
+                self._place(request)
+                return
+        if best is None:
+            best = next((each for each in tied if self._eligible(each, request)), None)
+        if best is not None and best.reported is not None and not request.attempts:
+            ratio = self._by_held.at(best.reported)
+            bearable = BEARABLE_SPENT - BEARABLE_SPREAD * (1.0 - request.standing)
+            if ratio is not None and ratio > bearable and self._random.random() >= TRICKLE:
+                best = None
+        if best is None or not self._send(request, best):
+            if not request.is_out():
+                self._finish(request)
+            return
+        if best.probed_at is None:
+            request.attempts[-1].held = best.reported
+
+    # -- Connections: where they are priced, few are opened and idle ones closed ----------------------
+
+    def _connection_idle(self, server: Server) -> None:
+        """Close the connections to a server once holding them idle has cost as much as opening one.
+
+        Guards against many small balancers that each hold a few connections hardly used: servers accept
+        only so many, and a fuller table takes of their capacity.
+        """
+        prices, limits = self._settings.prices, self._settings.limits
+        if self._now - server.idle_since >= limits.idle_close_us:
+            server.idle = 0
+        server.idle += 1
+        server.idle_since = self._now
+        if prices.connection <= 0.0 or limits.streams_per_connection > 1:
+            return
+        # A connection costs its price a hundredth part a request that a server gets meanwhile.
+        worth_holding = 100.0 * prices.handshake / prices.connection / max(self._server_rate(), 1e-9)
+        if worth_holding < limits.idle_close_us:
+            server.close_due = self._now + int(worth_holding) + 1
+            self._schedule(server.close_due, server.number, _IDLE)
+
+    def _server_rate(self) -> float:
+        """Requests a microsecond that a server gets, from all balancers."""
+        seen = self._by_held.rate(self._longest_aim)
+        if seen is not None:
+            return seen
+        return self._arrivals.per_us(self._now) * self._settings.group_size / max(len(self._ready), 1)
+
+    # -- The send gate --------------------------------------------------------------------------------
+
+    def _send(self, request: Request, server: Server) -> bool:
+        """The one way out for an attempt.  Says whether the attempt was allowed and sent."""
+        limits = self._settings.limits
+        if request.answered or self._now >= request.answer_by:
+            return False  # rule 1: nothing after the final answer, nothing that cannot be answered in time
+        if len(request.attempts) >= limits.max_attempts:
+            return False
+        if not self._has_turn(request):
+            return False  # order
+        if not limits.second_copies and request.is_out():
+            return False  # rule 2
+        if not self._may_run_again(request) or not self._in_group(request, server):
+            return False  # rule 2
+        if server.state is not ServerState.READY:
+            return False  # rule 3: at once on hearing, without use of the grace
+        if not self._cold_room(server, request.cost):
+            return False  # rule 4
+        if self._is_cold(server):
+            server.allowance -= request.cost
+        attempt = Attempt(len(request.attempts), server, self._now, self._absent_us, self._answers)
+        request.attempts.append(attempt)
+        server.in_flight += 1
+        server.idle = max(server.idle - 1, 0)
+        self._pending += 1
+        if server.ejected_until is not None:
+            server.trial = attempt
+            self._stuck += 1
+        self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
+        self._actions.append(Send(request.ident, server.name, request.answer_by))
+        return True
+
+    def _may_run_again(self, request: Request) -> bool:
+        """Whether the request's class lets another attempt out now."""
+        first_maybe = next((each for each in request.attempts if each.may_have_run), None)
+        if first_maybe is None or request.kind.repeat is Repeat.SAFE:
+            return True
+        if request.kind.repeat is Repeat.UNSAFE:
+            return False
+        # Keyed: servers forget; one tick less, since the clock is read once a tick.
+        return self._now + self._settings.tick_us < first_maybe.sent_at + request.kind.memory_us
+
+    @staticmethod
+    def _in_group(request: Request, server: Server) -> bool:
+        """Whether a keyed request that may have run would have its repeat dropped at this server."""
+        if request.kind.repeat is not Repeat.KEYED or request.kind.group is Group.ALL:
+            return True
+        first = next((each.server for each in request.attempts if each.may_have_run), server)
+        return first.zone == server.zone if request.kind.group is Group.ZONE else first.cell == server.cell
+
+    # -- The final answer gate ------------------------------------------------------------------------
+
+    def _finish(self, request: Request) -> None:
+        """The one way out for an answer that is not a server's: a refusal where legal, else a failure."""
+        if request.answered:
+            return
+        harmless = request.kind.repeat is Repeat.SAFE or not any(a.may_have_run for a in request.attempts)
+        if request.kind.repeat is Repeat.KEYED and request.kind.group is Group.ALL:
+            harmless = True
+        self._actions.append(Refuse(request.ident) if harmless else Fail(request.ident))
+        self._close(request)
+
+    def _close(self, request: Request) -> None:
+        """Nothing is owed any more; attempts still out are called off where that is permitted."""
+        request.answered = True
+        for attempt in request.attempts:
+            if attempt.pending and not attempt.started and self._settings.limits.may_cancel:
+                self._actions.append(Cancel(request.ident, attempt.index))
+        self._forget_if_over(request)
+
+    def _forget_if_over(self, request: Request) -> None:
+        if request.is_over():
+            self._requests.pop(request.ident, None)
+            if request.queue is not None:
+                self._moved.append(request.queue)
+
+    # -- How attempts end -----------------------------------------------------------------------------
+
+    def _attempt_ended(self, event: AttemptEnded) -> None:
+        request = self._requests.get(event.request)
+        if request is None or event.attempt >= len(request.attempts):
+            return
+        attempt = request.attempts[event.attempt]
+        if not attempt.pending:
+            return
+        attempt.pending = False
+        attempt.may_have_run = event.outcome not in self._proves_unrun
+        if request.queue is not None and event.outcome in _MAY_RUN_ON:
+            request.queue.rests_until = self._now + self._settings.rules.turn_gap_us
+        attempt.server.in_flight -= 1
+        self._pending -= 1
+        if attempt.server.ejected_until is not None:
+            self._stuck -= 1
+        if event.outcome in _CONNECTED:
+            self._connection_idle(attempt.server)
+        self._judge(request, attempt, event.outcome)
+        if event.report and "util" in event.report:
+            busy = min(max(event.report["util"], 0.0), 1.0)
+            self._cores = busy if self._cores is None else self._cores + CORES_STEP * (busy - self._cores)
+        if event.outcome in (Outcome.EXPIRED, Outcome.CANCELLED):
+            if not (attempt.felt or request.answered or event.answered):
+                self._too_late.add(self._now, 1.0)
+            until = self._now + int(GHOST_LIFE * event.elapsed_us)
+            attempt.server.ghosts.append(until)
+            if attempt.server.ejected_until is None:
+                heapq.heappush(self._ghosts, until)
+            if event.elapsed_us > self._usual(request) * attempt.server.pace and self._now != self._back_at:
+                self._pace(attempt.server, request, event.elapsed_us)
+        if event.outcome is Outcome.ERROR:
+            # A quick error must not look like a quick server: it counts as the slowest answer there is.
+            self._pace(attempt.server, request, int(PACE_CLIP * self._usual(request)))
+        if event.outcome is Outcome.DELIVERED:
+            self._served_aims.add(self._now, request.kind.aim_us)
+        if event.outcome is Outcome.DELIVERED and self._now != self._back_at:
+            if attempt.held is not None:
+                expected = self._by_held.at(attempt.held)
+                most = LOST_SPENT if expected is None else max(FIT_CLIP * expected, FIT_FLOOR)
+                self._by_held.add(attempt.held, min(event.elapsed_us / request.kind.aim_us, most))
+            self._time(attempt.server, request, event.elapsed_us)
+            if not attempt.felt:
+                self._feel(event.elapsed_us / request.kind.aim_us)
+            attempt.server.turned_away.pop(request.flow, None)
+        elif event.outcome is Outcome.FULL and not self._turned_away(request, attempt.server, event.report):
+            self._feel(LOST_SPENT)
+        if event.answered:
+            if not request.answered:
+                self._close(request)
+        elif not request.answered:
+            request.tried.append(attempt.server)
+            if event.outcome is Outcome.FULL:
+                request.said_full += 1
+                self._place(request)
+            elif self._may_run_again(request) and self._extra >= 1.0:
+                self._extra -= 1.0
+                self._place(request)
+            elif not request.is_out():
+                self._finish(request)
+        self._forget_if_over(request)
+
+    def _turned_away(self, request: Request, server: Server, report: Mapping[str, float] | None) -> bool:
+        """Learn from a full answer; say whether the server had room, so that it tells of no overload.
+
+        Guards against servers that admit little of one class or tenant: its requests go elsewhere for a
+        while, longer each time, those of others stay.  Where too few servers are left they are tried again.
+        """
+        times = server.turned_away.get(request.flow, (0, 0))[1]
+        wait = min(EJECT_AIMS * 2**times, EJECT_AIMS_MOST) * self._longest_aim
+        if not self._may_run_again(request):
+            wait = EJECT_AIMS_MOST * self._longest_aim  # each further trial would fail a request
+        until = self._now + int(wait * (0.75 + 0.5 * self._random.random()))
+        server.turned_away[request.flow] = (until, min(times + 1, 8))
+        return report is not None and report.get("util", 1.0) < CORES_BUSY
+
+    # -- Pace: how long a server takes, relative to the usual for such requests -----------------------
+
+    def _usual(self, request: Request) -> float:
+        """The usual time of such a request, over all servers."""
+        return self._norms.get((request.kind.name, request.size), UNSEEN_AIMS * request.kind.aim_us)
+
+    def _pace(self, server: Server, request: Request, elapsed_us: int) -> None:
+        ratio = min(elapsed_us / max(self._usual(request), 1.0), PACE_CLIP)
+        server.pace += PACE_STEP * self._stretch() * (ratio - server.pace)
+
+    def _time(self, server: Server, request: Request, elapsed_us: int) -> None:
+        kind = (request.kind.name, request.size)
+        usual = self._norms.setdefault(kind, float(elapsed_us))  # the first answer of its kind is usual
+        self._pace(server, request, elapsed_us)
+        self._norms[kind] = usual + NORM_STEP * (elapsed_us - usual)
+
+    # -- Overdue attempts: silent servers are left, and repeatable requests saved ---------------------
+
+    def _patience(self, request: Request, server: Server) -> int:
+        usual = PATIENCE * self._usual(request) * max(server.pace, 1.0)
+        return int(max(usual, PATIENCE_AIMS * request.kind.aim_us, self._settings.tick_us))
+
+    def _overdue(self, request: Request, attempt: Attempt) -> None:
+        """An attempt takes far longer than usual.
+
+        Guards against servers that take work and answer nothing, long before time-outs would tell.  A server
+        that answered anything since is slow, not silent; if others were as silent, all are overloaded.
+        """
+        server = attempt.server
+        silent = server.last_answer_at <= attempt.sent_at
+        if self._now == self._back_at:
+            # Its answer may be among what came meanwhile.
+            self._schedule(self._now + self._settings.tick_us, request.ident, attempt.index)
+            return
+        waited = self._now - attempt.sent_at - (self._absent_us - attempt.absent_before)
+        if waited < request.kind.aim_us:
+            self._schedule(self._now + request.kind.aim_us - waited, request.ident, attempt.index)
+        elif not attempt.felt and server.ejected_until is None:
+            # Late already, though no answer says so yet: waiting for one would see a surge too late.
+            attempt.felt = True
+            if self._cores is not None:
+                self._cores += CORES_STEP * (1.0 - self._cores)  # no answer, no report: reports alone flatter
+            self._feel(LOST_SPENT)
+        enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
+        if silent and waited < enough:
+            self._schedule(self._now + int(enough) - waited, request.ident, attempt.index)
+        elif (
+            silent and server.ejected_until is None and self._answers - attempt.answers_before >= QUIET_PEERS
+        ):
+            self._eject(server, "silent", SILENT_MOST)
+        silent = silent and server.ejected_until is not None
+        limits = self._settings.limits
+        if not self._may_run_again(request) or len(request.attempts) >= limits.max_attempts:
+            return  # waiting is all that is left
+        if limits.second_copies:
+            if silent and self._extra >= 1.0:
+                self._extra -= 1.0
+                self._place(request)
+        elif silent and limits.may_cancel and self._extra >= 1.0:
+            self._actions.append(Cancel(request.ident, attempt.index))  # its end draws again
+
+    # -- Outlier ejection -----------------------------------------------------------------------------
+
+    def _judge(self, request: Request, attempt: Attempt, outcome: Outcome) -> None:
+        """Learn of a server's health from the end of an attempt."""
+        server = attempt.server
+        trial = server.trial is attempt
+        if trial:
+            server.trial = None
+        if outcome is Outcome.DELIVERED:
+            server.strikes = 0
+            server.last_answer_at = self._now
+            self._answers += 1
+            if not self._is_cold(server):
+                self._served_warm.add(self._now, request.cost)  # overload serves the light ones
+            if server.ejected_until is not None:
+                self._readmit(server)
+        elif outcome in (Outcome.EXPIRED, Outcome.DROPPED, Outcome.DIAL_FAILED, Outcome.ERROR):
+            if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
+                return  # it is slow, not sick: it answered others meanwhile
+            server.strikes += 1
+            if trial or (server.strikes >= STRIKES and server.ejected_until is None):
+                self._eject(server, outcome.value)
+                if outcome in (Outcome.DIAL_FAILED, Outcome.DROPPED):
+                    self._turned_cold(server, self._now)  # its process may come back before the list says so
+
+    def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
+        if server.ejected_until is None:
+            if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
+                return
+            self._ejected.append(server)
+            self._stuck += server.in_flight
+            self._actions.append(Log(f"ejected {server.name}: {reason}"))
+        aims = min(EJECT_AIMS * 2**server.ejections, EJECT_AIMS_MOST)
+        server.ejections = min(server.ejections + 1, 8)
+        server.ejected_until = self._now + int(
+            aims * self._longest_aim * (0.75 + 0.5 * self._random.random())
+        )
+
+    def _readmit(self, server: Server) -> None:
+        server.ejected_until = None
+        self._ejected.remove(server)
+        self._stuck -= server.in_flight
+        server.ejections = 0
+        server.strikes = 0
+        if server.cold_since is not None and server.cold_since != server.started_at:
+            self._turned_cold(server, self._now)
+        self._actions.append(Log(f"readmitted {server.name}"))
+
+    def _trial_due(self, request: Request) -> Server | None:
+        """An ejected server comes back by one trial at a time, with a request that may be repeated."""
+        if request.kind.repeat is not Repeat.SAFE or request.attempts:
+            return None
+        for server in self._ejected:
+            waited = server.ejected_until is not None and self._now >= server.ejected_until
+            if waited and server.state is ServerState.READY and server.trial is None:
+                if self._cold_room(server, request.cost):
+                    return server
+        return None
+
+    # -- Slow start -----------------------------------------------------------------------------------
+
+    def _turned_cold(self, server: Server, since: int) -> None:
+        server.cold_since = since
+        server.allowance = 0.0
+        server.allowance_at = self._now
+
+    def _is_cold(self, server: Server) -> bool:
+        return server.cold_since is not None and self._now < server.cold_since + self._settings.rules.cold_us
+
+    def _warmth(self, server: Server) -> float:
+        """The least share of its capacity that the server has by now."""
+        rules = self._settings.rules
+        if server.cold_since is None or not self._is_cold(server):
+            return 1.0
+        age = max(self._now - server.cold_since, 0)
+        return rules.cold_from + (1.0 - rules.cold_from) * age / rules.cold_us
+
+    def _cold_room(self, server: Server, cost: float) -> bool:
+        """Whether a cold server's budget has room for a request of this cost.
+
+        Guards rule 4.  The budget fills with a part of what would push the server over, judged by what this
+        balancer's warm servers serve for it; all balancers doing so stay under the whole.  It starts empty.
+        """
+        if not self._is_cold(server):
+            return True
+        rules = self._settings.rules
+        bearable = self._bearable_by_mean()
+        if self._mean_size > 0.0:
+            bearable *= min(server.nominal / self._mean_size, 1.0)
+        limit = rules.fall_multiple * self._warmth(server) * bearable
+        most = max(1.0, COLD_BURST * limit * rules.fall_us)
+        filled = COLD_SHARE * limit * max(self._now - server.allowance_at, 0)
+        server.allowance = min(server.allowance + filled, most)
+        server.allowance_at = self._now
+        return server.allowance >= min(cost, most)
+
+    def _bearable_by_mean(self) -> float:
+        """What a warm server serves for this balancer; worked out once for each instant."""
+        if self._bearable_at != self._now:
+            self._bearable_at = self._now
+            warm = [each for each in self._ready if not self._is_cold(each)]
+            peers = warm or self._ready  # ejected ones too: they served a part of what is counted
+            served = self._served_warm if warm else self._arrivals
+            self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
+        return self._bearable
+
+    # -- Timers: one agenda, and one timer at a time for its head -------------------------------------
+
+    def _schedule(self, due: int, what: int, index: int) -> None:
+        self._agenda_order += 1
+        heapq.heappush(self._agenda, (due, self._agenda_order, what, index))
+
+    def _timer_fired(self) -> None:
+        if self._timer_due is not None and self._now >= self._timer_due:
+            self._timer_due = None
+        while self._agenda and self._agenda[0][0] <= self._now:
+            _, _, what, index = heapq.heappop(self._agenda)
+            if index == _TURN:
+                if what in self._queues:
+                    self._moved.append(self._queues[what])
+                continue
+            if index == _IDLE:
+                server = self._numbered[what]
+                if server.idle and server.close_due <= self._now:
+                    server.idle = 0
+                    self._actions.append(CloseIdle(server.name))
+                continue
+            request = self._requests.get(what)
+            if what == _ASK:
+                if self._ask_due is not None and self._ask_due <= self._now:
+                    self._ask()
+            elif request is None or request.answered or any(each.started for each in request.attempts):
+                pass  # nothing is waited for any more
+            elif index == _WHOLE:
+                self._finish(request)
+            elif index == _ASKED:
+                if request.asked and request.asked_until <= self._now:
+                    self._settle(request)
+            elif request.attempts[index].pending:
+                self._overdue(request, request.attempts[index])
+
+    def _is_idle(self, due: int, what: int, index: int) -> bool:
+        """Whether nothing would be done when this entry falls due."""
+        if index == _TURN:
+            return what not in self._queues or due != self._queues[what].rests_until
+        if index == _IDLE:
+            return due != self._numbered[what].close_due or not self._numbered[what].idle
+        if what in (_ASK, _BEAT):
+            return due != (self._ask_due if what == _ASK else self._beat_due)
+        request = self._requests.get(what)
+        if request is None or request.answered:
+            return True
+        if index == _ASKED:
+            return due != request.asked_until or not request.asked
+        return index != _WHOLE and not request.attempts[index].pending
+
+    def _arm_timer(self) -> None:
+        agenda = self._agenda
+        while agenda and self._is_idle(agenda[0][0], agenda[0][2], agenda[0][3]):
+            heapq.heappop(agenda)
+        if agenda and (self._timer_due is None or agenda[0][0] < self._timer_due):
+            self._timer_due = agenda[0][0]
+            self._actions.append(SetTimer(max(agenda[0][0] - self._now, 0), "agenda"))
+
+
+_WHOLE = -1  # the agenda's mark for a request as a whole, not one of its attempts
+_IDLE = -4  # the agenda's mark for a server whose idle connections are to be closed
+_ASKED = -3  # the agenda's mark for a request whose probes were waited for long enough
+_TURN = -2  # the agenda's mark for a key whose rest ends
+_BEAT = -2  # the agenda's mark for the beat that tells of stalls
+_ASK = -1  # the agenda's mark for discovery; requests are never negative
+_CONNECTED = (Outcome.DELIVERED, Outcome.ERROR, Outcome.FULL)  # the connection is still there after these
+_MAY_RUN_ON = (Outcome.EXPIRED, Outcome.DROPPED, Outcome.CANCELLED)  # the key rests after these
+
+
+@dataclass(slots=True, eq=False)
+class Mix:
+    """One tenant's traffic of one class."""
+
+    kind: ServiceClass
+    tenant: str | None
+    rate: Rate
+
+
+class Fit:
+    """A straight line through fading observations."""
+
+    __slots__ = ("_n", "_x", "_xx", "_xy", "_y")
+
+    def __init__(self) -> None:
+        self._n = self._x = self._y = self._xx = self._xy = 0.0
+
+    def add(self, x: float, y: float) -> None:
+        keep = 1.0 - FIT_STEP
+        self._n = keep * self._n + 1.0
+        self._x = keep * self._x + x
+        self._y = keep * self._y + y
+        self._xx = keep * self._xx + x * x
+        self._xy = keep * self._xy + x * y
+
+    def rate(self, time: float) -> float | None:
+        """What is held over the time it takes (Little's law)."""
+        return self._x / (self._y * time) if self._n >= FIT_LEAST and self._y > 0.0 else None
+
+    def at(self, x: float) -> float | None:
+        """The value expected at x; it never falls as x grows."""
+        if self._n < FIT_LEAST:
+            return None
+        mean_x, mean_y = self._x / self._n, self._y / self._n
+        spread = self._xx / self._n - mean_x * mean_x
+        slope = max(self._xy / self._n - mean_x * mean_y, 0.0) / (spread + 1.0)
+        return mean_y + slope * (x - mean_x)
+
+
+class Rate:
+    """A rate over a sliding span of time: an exponentially fading count."""
+
+    __slots__ = ("_at", "_count", "_span_us")
+
+    def __init__(self, span_us: float) -> None:
+        self._span_us = span_us
+        self._count = 0.0
+        self._at = 0
+
+    def over(self, span_us: float) -> None:
+        """Average over another span from now on."""
+        self._count *= span_us / self._span_us
+        self._span_us = span_us
+
+    def add(self, now: int, amount: float) -> None:
+        self._fade(now)
+        self._count += amount
+
+    def per_us(self, now: int) -> float:
+        self._fade(now)
+        return self._count / self._span_us
+
+    def _fade(self, now: int) -> None:
+        if now > self._at:
+            self._count *= math.exp((self._at - now) / self._span_us)
+            self._at = now
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,162 @@
+"""A small stage for scripted events: it plays them and keeps what comes out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any, TypeVar
+
+from ladderhold import Balancer, Settings
+from ladderhold.interface import (
+    Action,
+    AttemptEnded,
+    Event,
+    ListedServer,
+    ListKind,
+    Outcome,
+    RequestArrived,
+    Send,
+    ServersListed,
+    ServerState,
+    SetTimer,
+    TimerFired,
+)
+
+MS = 1_000
+S = 1_000_000
+START = 50 * S
+
+SAFE = {"name": "look", "deadline_us": 2 * S, "aim_us": 500 * MS, "worth": 1, "repeat": "safe"}
+UNSAFE = {"name": "pay", "deadline_us": 2 * S, "aim_us": 500 * MS, "worth": 10, "repeat": "unsafe"}
+KEYED = {
+    "name": "amend",
+    "deadline_us": 4 * S,
+    "aim_us": 500 * MS,
+    "worth": 3,
+    "repeat": "keyed",
+    "group": "cell",
+    "memory_us": 2 * S,
+}
+
+_Kind = TypeVar("_Kind")
+
+
+def settings(**changes: Any) -> Settings:
+    """Settings of a permissive deployment; `limits` and `rules` are merged, the rest replaced."""
+    given: dict[str, Any] = {
+        "classes": [SAFE, UNSAFE, KEYED],
+        "zone": "east",
+        "tick_us": 5 * MS,
+        "limits": {"max_attempts": 5, "second_copies": True, "may_cancel": True},
+        "rules": {
+            "cold_from": 0.2,
+            "cold_us": 10 * S,
+            "drain_grace_us": 500 * MS,
+            "fall_multiple": 3,
+            "fall_us": 2 * S,
+            "ask_within_us": 10 * S,
+        },
+    }
+    for key, value in changes.items():
+        given[key] = {**given[key], **value} if isinstance(given.get(key), dict) else value
+    return Settings.from_mapping(given)
+
+
+def names(count: int) -> list[str]:
+    return [f"10.0.0.{number}:80" for number in range(1, count + 1)]
+
+
+class Stage:
+    """Plays events to one balancer; timers fire by themselves as time moves on."""
+
+    def __init__(self, given: Settings | None = None, seed: int = 7, now: int = START) -> None:
+        self.now = now
+        self.balancer = Balancer(given or settings(), seed)
+        self.log: list[tuple[int, Action]] = []
+        self._timers: list[tuple[int, str]] = []
+        self._next = 1
+
+    def play(self, event: Event) -> list[Action]:
+        actions = self.balancer.handle(self.now, event)
+        for action in actions:
+            self.log.append((self.now, action))
+            if isinstance(action, SetTimer):
+                self._timers.append((self.now + action.in_us, action.token))
+        return actions
+
+    def servers(
+        self, listed: Iterable[str | ListedServer], kind: ListKind = ListKind.COMPLETE
+    ) -> list[Action]:
+        lines = [ListedServer(each, zone="east") if isinstance(each, str) else each for each in listed]
+        return self.play(ServersListed(kind, lines, 1))
+
+    def drain(self, server: str, state: ServerState = ServerState.DRAINING) -> list[Action]:
+        return self.servers([ListedServer(server, zone="east", state=state)], ListKind.CHANGES)
+
+    def request(
+        self,
+        name: str = "look",
+        remaining_us: int = 2 * S,
+        cost_us: int | None = None,
+        key: int | None = None,
+        tenant: str | None = None,
+    ) -> int:
+        number, self._next = self._next, self._next + 1
+        self.play(RequestArrived(number, name, tenant, key, remaining_us, cost_us))
+        return number
+
+    def end(
+        self,
+        request: int,
+        outcome: Outcome = Outcome.DELIVERED,
+        attempt: int | None = None,
+        answered: bool | None = None,
+        report: dict[str, float] | None = None,
+    ) -> list[Action]:
+        sends = self.sends(request)
+        index = len(sends) - 1 if attempt is None else attempt
+        sent_at, send = sends[index]
+        done = outcome is Outcome.DELIVERED if answered is None else answered
+        took = self.now - sent_at
+        return self.play(AttemptEnded(request, index, send.server, outcome, took, done, report))
+
+    def wait(self, span_us: int) -> None:
+        """Let time pass; due timers fire on the way."""
+        until = self.now + span_us
+        while True:
+            due = sorted(each for each in self._timers if each[0] <= until)
+            if not due:
+                break
+            self._timers.remove(due[0])
+            self.now = max(self.now, due[0][0])
+            self.play(TimerFired(due[0][1]))
+        self.now = until
+
+    def sends(self, request: int | None = None) -> list[tuple[int, Send]]:
+        return [
+            (at, each)
+            for at, each in self.log
+            if isinstance(each, Send) and (request is None or each.request == request)
+        ]
+
+    def target(self, request: int) -> str:
+        return self.sends(request)[-1][1].server
+
+    def said(self, kind: type[_Kind]) -> list[_Kind]:
+        return [each for _, each in self.log if isinstance(each, kind)]
+
+    def serve(
+        self, count: int, every_us: int = 20 * MS, taking_us: int = 50 * MS, name: str = "look"
+    ) -> None:
+        """Traffic in good health: a request every so often, each answered after the same time."""
+        pending: list[tuple[int, int]] = []
+        for _ in range(count):
+            self.wait(every_us)
+            pending.append((self.now + taking_us, self.request(name)))
+            while pending and pending[0][0] <= self.now:
+                done = pending.pop(0)[1]
+                if self.sends(done):
+                    self.end(done)
+        for _, done in pending:
+            self.wait(every_us)
+            if self.sends(done):
+                self.end(done)
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,202 @@
+"""The wire: what it accepts, what it complains of, and that it adds nothing of its own."""
+
+from __future__ import annotations
+
+import io
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as how
+from hypothesis import strategies as st
+
+from ladderhold.adapter import run, settings_from_wire
+
+BOOT: dict[str, Any] = {
+    "bounds": {"sendCap": 3, "secondCopies": True, "mayCancel": True, "streamsPerConn": 1},
+    "discovery": "on_request",
+    "guarantees": {"askWithinUs": 10_000_000, "coldFrom": 0.3, "coldUs": 8_000_000},
+    "lanes": [
+        {"name": "look", "giveUpUs": 2_000_000, "promiseUs": 500_000, "repeat": "read_like", "group": "all"}
+    ],
+    "report": {"source": "piggyback", "columns": ["util"]},
+    "something_new": [1, 2],
+}
+PAGE = [
+    "PAGE",
+    0,
+    [["10.0.0.1:80", "east", "box", 0, "ready", 1, None], ["10.0.0.2:80", "east", "box", 0, "ready", 1]],
+]
+
+
+def begin(who: str = "sidecar-1", boot: Any = None) -> list[list[Any]]:
+    return [["BEGIN", who, 7, BOOT if boot is None else boot], PAGE, ["TARGETS", who, "cached", 0, 1]]
+
+
+def play(*batches: list[list[Any]]) -> tuple[int, list[list[Any]], str]:
+    lines = []
+    for index, batch in enumerate(batches):
+        lines += [["FRAME", 1_000_000 + 5_000 * index], *batch, ["COMMIT"]]
+    return play_text("".join(json.dumps(each) + "\n" for each in lines))
+
+
+def play_text(text: str) -> tuple[int, list[list[Any]], str]:
+    out, err = io.StringIO(), io.StringIO()
+    code = run(io.StringIO(text), out, err)
+    return code, [json.loads(each) for each in out.getvalue().splitlines()], err.getvalue()
+
+
+def test_an_empty_batch_is_answered_by_done() -> None:
+    assert play([]) == (0, [["DONE"]], "")
+
+
+def test_a_request_is_assigned() -> None:
+    work = ["WORK_ITEM", "sidecar-1", 5, "look", 0, None, 900_000, 12_000, 1, "a field to come"]
+    code, reply, _ = play(begin(), [work])
+    sends = [each for each in reply if each[0] == "ASSIGN"]
+    assert code == 0
+    assert (
+        len(sends) == 1
+        and sends[0][1:3] == ["sidecar-1", 5]
+        and sends[0][3] in ("10.0.0.1:80", "10.0.0.2:80")
+    )
+
+
+def test_a_killed_instance_forgets_all_and_may_begin_again_in_the_same_batch() -> None:
+    work = ["WORK_ITEM", "sidecar-1", 5, "look", None, None, 900_000, None, 0]
+    end = ["ATTEMPT_END", "sidecar-1", 5, 0, "10.0.0.1:80", "delivered", 100, True, {"util": 0.5}]
+    code, reply, _ = play(begin(), [work, ["EXIT", "sidecar-1"], *begin()], [end])
+    assert code == 0
+    assert [each[0] for each in reply].count("FOLLOW") == 2
+
+
+def test_a_page_number_may_be_used_again_within_a_batch() -> None:
+    other = ["PAGE", 0, [["10.0.0.9:80", "east", "box", 0, "ready", 1, None]]]
+    work = [["WORK_ITEM", f"sidecar-{n}", n, "look", None, None, 900_000, None, 0] for n in (1, 2)]
+    batch = [
+        *begin(),
+        ["BEGIN", "sidecar-2", 8, BOOT],
+        other,
+        ["TARGETS", "sidecar-2", "cached", 0, 1],
+        *work,
+    ]
+    _, reply, _ = play(batch)
+    targets = {each[1]: each[3] for each in reply if each[0] == "ASSIGN"}
+    assert targets["sidecar-2"] == "10.0.0.9:80" and targets["sidecar-1"] != "10.0.0.9:80"
+
+
+@pytest.mark.parametrize(
+    ("line", "complaint"),
+    [
+        ("nonsense", "not JSON"),
+        ("[" * 100_000, "not JSON"),
+        ("{}", "array"),
+        ("[]", "array"),
+        ('["NEWS","sidecar-1"]', "unknown message"),
+        ('["FRAME"]', "inside a batch"),
+        ('["WORK_ITEM","sidecar-1",5]', "needs 8 values"),
+        ('["WAKE","sidecar-9","x"]', "has not begun"),
+        ('["CLIENT_GONE","sidecar-1","five"]', "whole number"),
+        ('["TARGETS","sidecar-1","rumour",0,1]', "unknown word"),
+        ('["TARGETS","sidecar-1","full",9,1]', "not given"),
+        ('["ATTEMPT_END","sidecar-1",5,0,"a:1","lost",1,true,null]', "unknown word"),
+        ('["PAGE",0,[["a:1"]]]', "at least 6"),
+        ('["MEMO","sidecar-1",0,"xyz"]', "hex"),
+        ('["BEGIN","sidecar-2",1,{"lanes":[]}]', "classes"),
+        ('["BEGIN","sidecar-2",1,{"lanes":[{"name":"a","giveUpUs":-1}]}]', "classes[0].deadline_us"),
+    ],
+)
+def test_bad_input_is_named_with_its_line_and_ends_the_run(line: str, complaint: str) -> None:
+    good = "".join(json.dumps(each) + "\n" for each in (["FRAME", 1], *begin()))
+    code, _, err = play_text(good + line + "\n")
+    assert code != 0
+    assert err.startswith("line 5: ") and complaint in err and err.count("\n") == 1
+
+
+@how(max_examples=150, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.one_of(
+            st.text(max_size=30),
+            st.recursive(
+                st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+                lambda inner: (
+                    st.lists(inner, max_size=6) | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+                ),
+            ).map(json.dumps),
+            st.tuples(
+                st.sampled_from(
+                    ["WORK_ITEM", "ATTEMPT_END", "TARGETS", "PAGE", "BEGIN", "WAKE", "FIRST", "SAMPLED"]
+                ),
+                st.lists(
+                    st.sampled_from(
+                        ["sidecar-1", "look", "full", "delivered", 0, 1, -5, 2**70, None, True, 1.5, {}, []]
+                    ),
+                    max_size=9,
+                ),
+            ).map(lambda each: json.dumps([each[0], *each[1]])),
+        ),
+        max_size=5,
+    )
+)
+def test_no_line_makes_a_traceback(lines: list[str]) -> None:
+    start = "".join(json.dumps(each) + "\n" for each in (["FRAME", 1], *begin()))
+    body = "".join(each.replace("\n", " ").replace("\r", " ") + "\n" for each in lines)
+    code, _, err = play_text(start + body + '["COMMIT"]\n')
+    assert (code == 0) == (err == "")
+
+
+def test_the_same_events_give_the_same_actions_whatever_the_hash_seed() -> None:
+    script = [["FRAME", 1_000_000], *begin(), ["COMMIT"]]
+    for number in range(60):
+        work = ["WORK_ITEM", "sidecar-1", number, "look", None, None, 900_000, None, 0]
+        script += [["FRAME", 1_000_000 + 5_000 * number], work, ["COMMIT"]]
+    text = "".join(json.dumps(each) + "\n" for each in script)
+    replies = [
+        subprocess.run(
+            [sys.executable, "-m", "ladderhold.adapter"],
+            input=text,
+            capture_output=True,
+            text=True,
+            check=True,
+            cwd=Path(__file__).parent.parent,
+            env={**os.environ, "PYTHONHASHSEED": hash_seed},
+        ).stdout
+        for hash_seed in ("1", "2")
+    ]
+    assert replies[0] == replies[1] and replies[0].count("ASSIGN") == 60
+
+
+def test_the_further_rules_and_prices_of_the_wire_reach_the_settings() -> None:
+    lane = {**BOOT["lanes"][0], "byArrival": True}
+    read = settings_from_wire(
+        {
+            **BOOT,
+            "lanes": [lane],
+            "guarantees": {"lateShedding": True, "turnGapUs": 100_000},
+            "prices": {"connection": 0.08, "handshake": 0.07, "lateFail": 0.05},
+            "domain": {"warmKeys": True, "passesDeadline": True},
+            "clientHabits": {"marksRetry": True},
+            "goal": {"whole": 1.0},
+        }
+    )
+    assert read.classes[0].by_arrival and read.warm_keys
+    assert read.rules.late_shedding and read.rules.turn_gap_us == 100_000
+    assert (read.prices.connection, read.prices.handshake) == (0.08, 0.07)
+    plain = settings_from_wire(BOOT)
+    assert not (plain.classes[0].by_arrival or plain.warm_keys or plain.rules.late_shedding)
+
+
+def test_nonsense_in_the_further_rules_is_named() -> None:
+    for boot, key in (
+        ({**BOOT, "guarantees": {"lateShedding": "yes"}}, "late_shedding"),
+        ({**BOOT, "guarantees": {"turnGapUs": -1}}, "turn_gap_us"),
+        ({**BOOT, "domain": {"warmKeys": 3}}, "warm_keys"),
+    ):
+        code, _, err = play(begin(boot=boot))
+        assert code == 2 and key in err and err.count("\n") == 1
