--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from typing import Any, TypeVar
 
-from ladderhold import Balancer, Settings
-from ladderhold.interface import (
+from topazbank import Balancer, Settings
+from topazbank.interface import (
     Action,
     AttemptEnded,
     Event,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -15,7 +15,7 @@
 from hypothesis import settings as how
 from hypothesis import strategies as st
 
-from ladderhold.adapter import run, settings_from_wire
+from topazbank.wirehost import run, settings_from_wire
 
 BOOT: dict[str, Any] = {
     "bounds": {"sendCap": 3, "secondCopies": True, "mayCancel": True, "streamsPerConn": 1},
@@ -159,7 +159,7 @@
     text = "".join(json.dumps(each) + "\n" for each in script)
     replies = [
         subprocess.run(
-            [sys.executable, "-m", "ladderhold.adapter"],
+            [sys.executable, "-m", "topazbank.wirehost"],
             input=text,
             capture_output=True,
             text=True,
--- a/tests/test_any_sequence.py
+++ b/tests/test_any_sequence.py
@@ -9,9 +9,9 @@
 from hypothesis import settings as how
 from hypothesis import strategies as st
 
-from ladderhold import Balancer
-from ladderhold.interface import AttemptEnded as Ended
-from ladderhold.interface import (
+from topazbank import Balancer
+from topazbank.interface import AttemptEnded as Ended
+from topazbank.interface import (
     Cancel,
     Event,
     Fail,
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -7,8 +7,8 @@
 import pytest
 from helpers import MS, S, Stage, names, settings
 
-from ladderhold.balancer import Server
-from ladderhold.interface import (
+from topazbank.balancer import Server
+from topazbank.interface import (
     Cancel,
     CloseIdle,
     Fail,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 import pytest
 from helpers import MS, START, S, Stage, names, settings
 
-from ladderhold.interface import (
+from topazbank.interface import (
     AttemptEnded,
     Cancel,
     Fail,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,8 +9,8 @@
 from hypothesis import settings as how
 from hypothesis import strategies as st
 
-from ladderhold import Balancer, Settings
-from ladderhold.interface import Discovery, Repeat, RequestArrived
+from topazbank import Balancer, Settings
+from topazbank.interface import Discovery, Repeat, RequestArrived
 
 LEAST = {"classes": [{"name": "a", "deadline_us": 1_000_000}]}
 
--- a/ladderhold/balancer.py
+++ b/topazbank/balancer.py
@@ -1,6 +1,6 @@
 """All decisions of a sidecar balancer, by best-of-k with redraw.
 
-Types, events and actions: ladderhold/interface.py.  The reasons for each departure: docs/design.md.
+Types, events and actions: topazbank/interface.py.  The reasons for each departure: docs/design.md.
 
 Per request: draw k random distinct ready servers and send to the one with the fewest of this balancer's own
 requests in flight; on a full answer draw again, wider.  Every attempt leaves through `_send` and every final
@@ -16,7 +16,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from ladderhold.interface import (
+from topazbank.interface import (
     Action,
     AnswerStarted,
     AttemptEnded,
--- a/ladderhold/adapter.py
+++ b/topazbank/wirehost.py
@@ -1,6 +1,6 @@
 """Puts balancers on the simulator's wire: a map of names, and no decision.
 
-Run as `python -m ladderhold.adapter`.  Input that breaks the wire's grammar ends the process with one line on
+Run as `python -m topazbank.wirehost`.  Input that breaks the wire's grammar ends the process with one line on
 standard error and exit code 2.
 """
 
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TextIO
 
-from ladderhold.balancer import Balancer
-from ladderhold.interface import (
+from topazbank.balancer import Balancer
+from topazbank.interface import (
     Action,
     AnswerStarted,
     AttemptEnded,
