--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,11 @@
-VENV ?= .venv
-BIN = $(VENV)/bin
+BIN = .venv/bin
 
 .PHONY: setup test lint check
 
-setup: $(BIN)/ruff
-
-$(BIN)/ruff: pyproject.toml
-	python3 -m venv $(VENV)
-	$(BIN)/pip install -q --disable-pip-version-check -e '.[dev]'
-	touch $(BIN)/ruff
+setup:
+	sh deploy/build.sh
+	cmp -s pyproject.toml .venv/developing.toml || \
+		($(BIN)/pip install -q --disable-pip-version-check -e '.[dev]' && cp pyproject.toml .venv/developing.toml)
 
 test: setup
 	$(BIN)/python -m pytest
--- /dev/null
+++ b/topazbank/__main__.py
@@ -0,0 +1,85 @@
+"""Starts one sidecar: reads its configuration, serves, and drains on SIGTERM.
+
+Run as `python -m topazbank`, with RELAY_CONFIG naming the configuration.  A bad one ends the start with one
+line on standard error and exit code 2.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+from collections.abc import Mapping
+from typing import Any
+
+from topazbank.net.discovery import Told, parse_list
+from topazbank.net.sidecar import Config, Sidecar
+from topazbank.net.upstream import parse_address
+from topazbank.wirehost import settings_from_wire
+
+_SOCKETS = 1024  # unless the configuration tells
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    """Read what the sidecar is told; raise ValueError or OSError, saying what is wrong."""
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise ValueError("RELAY_CONFIG names no file")
+    with open(path, encoding="utf-8") as file:
+        given = json.load(file)
+    if not isinstance(given, dict):
+        raise ValueError("an object is needed")
+    known = given.get("known")
+    return Config(
+        listen=_address(environ.get("RELAY_LISTEN") or given.get("listen"), "listen"),
+        discovery=_address(environ.get("RELAY_DISCOVERY") or given.get("discovery"), "discovery"),
+        seed=_seed(given.get("seed", "0")),
+        sockets=_sockets(given.get("limits")),
+        settings=settings_from_wire(given.get("settings")),
+        known=Told(0, True, []) if known is None else parse_list(known),
+    )
+
+
+def _address(value: Any, name: str) -> tuple[str, int]:
+    if not isinstance(value, str):
+        raise ValueError(f"{name}: an address is needed")
+    return parse_address(value)
+
+
+def _seed(value: Any) -> int:
+    if isinstance(value, str):
+        return int(value, 16)
+    raise ValueError("seed: hex digits are needed")
+
+
+def _sockets(limits: Any) -> int:
+    value = limits.get("sockets", _SOCKETS) if isinstance(limits, dict) else _SOCKETS
+    if type(value) is not int or value < 1:
+        raise ValueError("limits.sockets: a whole number is needed")
+    return value
+
+
+async def serve(config: Config) -> None:
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await Sidecar(config).run(stop)
+
+
+def main() -> int:
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(name)s %(message)s", stream=sys.stderr)
+    try:
+        config = read_config(os.environ)
+    except (OSError, ValueError, RecursionError) as bad:
+        print(f"bad configuration: {bad}".replace("\n", " "), file=sys.stderr)
+        return 2
+    gc.freeze()  # what is loaded by now stays; collections look at requests alone
+    asyncio.run(serve(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/topazbank/net/__init__.py
@@ -0,0 +1,1 @@
+"""The sockets round the decisions: bytes become events, actions become bytes."""
--- /dev/null
+++ b/topazbank/net/discovery.py
@@ -0,0 +1,147 @@
+"""The list of servers: watches and fetches.  When to ask is not decided here."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+
+from topazbank.interface import ListedServer, ServerState
+from topazbank.net.upstream import Address, Connection, Response, connect, parse_address
+
+log = logging.getLogger(__name__)
+
+_PATH = "/registry/instances"
+_WAIT_MS = 20_000  # how long a watch may wait
+_CALL_S = 5.0  # and what a call may take beyond that
+_LIST_MOST = 8 * 1024 * 1024
+_STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
+
+
+@dataclass(slots=True)
+class Listed:
+    """A line of the list, with the address that the server has for this sidecar."""
+
+    server: ListedServer
+    address: Address
+
+
+@dataclass(slots=True)
+class Told:
+    """What discovery answered."""
+
+    version: int
+    complete: bool
+    lines: list[Listed]
+
+
+def parse_list(given: object) -> Told:
+    """Read discovery's form; a junk entry is skipped with a log line, a junk list is a ValueError."""
+    if not isinstance(given, Mapping) or not isinstance(given.get("endpoints"), list):
+        raise ValueError("a list of servers is an object with endpoints")
+    version = given.get("index")
+    if type(version) is not int:
+        raise ValueError("index: a whole number is needed")
+    lines = []
+    for entry in given["endpoints"]:
+        try:
+            lines.append(_listed(entry))
+        except (ValueError, TypeError, KeyError, AttributeError) as junk:
+            log.warning("list entry skipped: %r: %.120r", junk, entry)
+    return Told(version, given.get("snapshot") is True, lines)
+
+
+def _listed(entry: Mapping[str, Any]) -> Listed:
+    name, zone, kind = entry["name"], entry.get("zone", ""), entry.get("type", "")
+    group, weight, since_ms = entry.get("group", 0), entry.get("weight", 1.0), entry.get("since_ms", 0)
+    if not all(isinstance(each, str) for each in (name, zone, kind)) or not name:
+        raise ValueError("name, zone and type must be texts")
+    if type(group) is not int or type(since_ms) is not int or since_ms < 0:
+        raise ValueError("group and since_ms must be whole numbers")
+    if isinstance(weight, bool) or not isinstance(weight, int | float) or not math.isfinite(weight):
+        raise ValueError("weight must be a number")
+    # A status that is not known here takes nothing new.
+    state = _STATES.get(entry["status"], ServerState.DRAINING)
+    started_at = since_ms * 1000 or None
+    server = ListedServer(name, zone, kind, group, state, float(weight), started_at)
+    return Listed(server, parse_address(entry["address"]))
+
+
+class Discovery:
+    """Watches the list while that is wanted; each call has a connection of its own."""
+
+    def __init__(self, address: Address, version: int, told: Callable[[Told | None], None]) -> None:
+        self._address = address
+        self._version = version
+        self._told = told
+        self._watch: asyncio.Task[None] | None = None
+        self._fetches: set[asyncio.Task[bool]] = set()
+
+    def follow(self, wanted: bool) -> None:
+        """Begin a watch or end it; one that is under way goes on."""
+        if not wanted:
+            self.stop()
+        elif self._watch is None or self._watch.done():
+            self._watch = asyncio.get_running_loop().create_task(self._keep_watch())
+
+    def fetch(self) -> None:
+        """Ask once for the whole list."""
+        task = asyncio.get_running_loop().create_task(self._ask(_PATH, _CALL_S))
+        self._fetches.add(task)
+        task.add_done_callback(lambda done: self._fetches.discard(done))
+
+    def stop(self) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+
+    async def _keep_watch(self) -> None:
+        """Call again as soon as a call is answered: later than 200 ms it would be a new watch."""
+        watching = True
+        while watching:
+            target = f"{_PATH}?after={self._version}&wait_ms={_WAIT_MS}"
+            watching = await self._ask(target, _WAIT_MS / 1000 + _CALL_S)
+
+    async def _ask(self, target: str, limit_s: float) -> bool:
+        told: Told | None = None
+        try:
+            async with asyncio.timeout(limit_s):
+                told = self._read(await self._call(target))
+                self._version = told.version
+        except (OSError, ValueError, TimeoutError) as fault:
+            log.warning("discovery: %s", fault or type(fault).__name__)
+        self._told(told)
+        return told is not None
+
+    @staticmethod
+    def _read(response: Response | None) -> Told:
+        if response is None:
+            raise ConnectionResetError("the connection broke")
+        if response.status != 200:
+            raise ConnectionRefusedError(f"status {response.status}")
+        return parse_list(json.loads(response.body))
+
+    async def _call(self, target: str) -> Response | None:
+        connection = await connect(self._address, _LIST_MOST)
+        try:
+            return await self._exchange(connection, target)
+        finally:
+            connection.abort()
+
+    async def _exchange(self, connection: Connection, target: str) -> Response | None:
+        answer: asyncio.Future[Response | None] = asyncio.get_running_loop().create_future()
+        host = f"{self._address[0]}:{self._address[1]}"
+        head = h11.Request(method="GET", target=target, headers=[("Host", host), ("Connection", "close")])
+
+        def ended(response: Response | None) -> None:
+            if not answer.done():
+                answer.set_result(response)
+
+        connection.request(head, b"", ended)
+        return await answer
--- /dev/null
+++ b/topazbank/net/sidecar.py
@@ -0,0 +1,360 @@
+"""The driver: hands events to the balancer and carries its actions out.  It has no opinions of its own.
+
+It owns the clock, the balancer, the requests that are live and the timers.  Nothing is awaited between a
+decision and its effect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import h11
+
+from topazbank.balancer import Balancer
+from topazbank.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    CloseIdle,
+    Event,
+    Fail,
+    FetchList,
+    Follow,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    ReportSource,
+    RequestArrived,
+    RequestGone,
+    Send,
+    ServersListed,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+from topazbank.interface import Discovery as DiscoveryMode
+from topazbank.net import upstream
+from topazbank.net.discovery import Discovery, Told
+from topazbank.net.frontend import Call, Frontend, Hooks
+from topazbank.net.upstream import Address, Exchange, Headers, Response, end_to_end
+
+log = logging.getLogger(__name__)
+
+_ACCEPT_S = 0.5  # after SIGTERM, how long connections are still taken: they come for 0.4 s
+_LINGER_S = 0.65  # and how much longer than the longest deadline all may last
+_DEADLINE_MOST_S = 3.0  # the platform waits for no longer deadline than this
+_LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
+_LAG_TOLD_S = 0.05  # and from when on it is logged
+_PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
+_FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
+
+
+class Clock:
+    """Microseconds of Unix time, anchored once: monotonic, and comparable with discovery's `since_ms`."""
+
+    def __init__(self) -> None:
+        self._offset_us = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+
+    def now(self) -> int:
+        return time.monotonic_ns() // 1000 + self._offset_us
+
+    def on_loop(self, at_us: int) -> float:
+        """A clock time as the event loop counts it."""
+        return (at_us - self._offset_us) / 1e6
+
+
+@dataclass(slots=True, eq=False)
+class Live:
+    """A request that is not over: unanswered, or with attempts still out."""
+
+    ident: int
+    call: Call
+    answer_by: int
+    answered: bool = False
+    attempts: list[Exchange | None] = field(default_factory=list)
+    out: int = 0
+    backstop: asyncio.TimerHandle | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a sidecar is told."""
+
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: Settings
+    known: Told
+
+
+class Sidecar:
+    """One sidecar: a balancer and the sockets round it."""
+
+    def __init__(self, config: Config) -> None:
+        self._settings = settings = config.settings
+        self._clock = Clock()
+        self._balancer = Balancer(settings, config.seed)
+        self._live: dict[int, Live] = {}
+        self._by_call: dict[Call, Live] = {}
+        self._idents = itertools.count(1)
+        self._events: deque[Event] = deque()
+        self._handling = False
+        half = max((config.sockets - _FDS_KEPT) // 2, 1)
+        limits = settings.limits
+        self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
+        self._known = config.known
+        self._discovery = Discovery(config.discovery, config.known.version, self._told)
+        self.frontend = Frontend(config.listen, half, Hooks(self._taken, self._gone, self._is_ready))
+        self._carry: dict[type[Any], Callable[[Any], None]] = {
+            Send: self._send,
+            Refuse: self._refuse,
+            Fail: self._fail,
+            Cancel: self._cancel,
+            SetTimer: self._set_timer,
+            Probe: self._probe,
+            CloseIdle: lambda action: self._upstream.close_idle(action.server),
+            Follow: lambda action: self._discovery.follow(action.wanted),
+            FetchList: lambda _: self._discovery.fetch(),
+            Log: lambda action: log.info("%s", action.text),
+        }
+
+    # -- Life -----------------------------------------------------------------------------------------
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until `stop`, then answer all that is held and return."""
+        self._list(ListKind.REMEMBERED, self._known)
+        if self._settings.discovery is DiscoveryMode.PUSHED:
+            self._discovery.follow(True)
+        self.frontend.start()
+        lag = asyncio.get_running_loop().create_task(self._watch_lag())
+        await stop.wait()
+        await self._drain()
+        lag.cancel()
+        self._discovery.stop()
+        await self._upstream.close()
+
+    async def _drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        log.info("draining: %d requests held", len(self._by_call))
+        self.frontend.drain()
+        longest = max(each.deadline_us for each in self._settings.classes) / 1e6
+        last = began + min(longest, _DEADLINE_MOST_S) + _LINGER_S
+        while loop.time() < began + _ACCEPT_S:
+            await asyncio.sleep(0.02)
+            self.frontend.close_idle()
+        self.frontend.stop()
+        while not self.frontend.is_empty() and loop.time() < last:
+            await asyncio.sleep(0.02)
+            if loop.time() > began + _LINGER_S:
+                self.frontend.close_idle()
+        for live in list(self._by_call.values()):
+            self._answer(live, 500, [], b"")
+        log.info("drained")
+
+    async def _watch_lag(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + _LAG_EVERY_S
+            await asyncio.sleep(_LAG_EVERY_S)
+            late = loop.time() - due
+            if late > _LAG_TOLD_S:
+                log.warning("the event loop was %.0f ms late", late * 1000)
+
+    def _is_ready(self) -> bool:
+        return not self.frontend.draining
+
+    # -- Events in, actions out -----------------------------------------------------------------------
+
+    def handle(self, event: Event) -> None:
+        """Play an event, and those that its actions cause, in order."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._play(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _play(self, event: Event) -> None:
+        try:
+            actions: Sequence[Action] = self._balancer.handle(self._clock.now(), event)
+        except Exception:
+            log.exception("the balancer failed on %.200r", event)
+            self._give_up(getattr(event, "request", None))
+            return
+        for action in actions:
+            try:
+                self._carry[type(action)](action)
+            except Exception:
+                log.exception("could not carry out %.200r", action)
+                self._give_up(getattr(action, "request", None))
+
+    def _give_up(self, ident: int | None) -> None:
+        """Guards against a defect that would leave its request unanswered: it fails."""
+        live = self._live.get(ident) if ident is not None else None
+        if live is not None:
+            self._answer(live, 500, [], b"")
+            for attempt in live.attempts:
+                if attempt is not None:
+                    self._upstream.cancel(attempt)
+
+    # -- Requests -------------------------------------------------------------------------------------
+
+    def _taken(self, call: Call) -> None:
+        live = Live(next(self._idents), call, self._clock.now() + call.budget_us)
+        self._live[live.ident] = self._by_call[call] = live
+        at = self._clock.on_loop(live.answer_by)
+        live.backstop = asyncio.get_running_loop().call_at(at, self._give_up, live.ident)
+        self.handle(
+            RequestArrived(
+                live.ident,
+                call.service_class,
+                call.tenant,
+                call.key,
+                call.budget_us,
+                call.cost_us,
+                call.again,
+            )
+        )
+
+    def _gone(self, call: Call) -> None:
+        live = self._by_call.pop(call, None)
+        if live is not None and not live.answered:
+            self._mark_answered(live)
+            self.handle(RequestGone(live.ident))
+
+    def _answer(self, live: Live, status: int, headers: Headers, body: bytes) -> None:
+        if live.answered:
+            return
+        self._mark_answered(live)
+        live.call.answer(status, headers, body)
+
+    def _mark_answered(self, live: Live) -> None:
+        live.answered = True
+        self._by_call.pop(live.call, None)
+        if live.backstop is not None:
+            live.backstop.cancel()
+        self._forget_if_over(live)
+
+    def _forget_if_over(self, live: Live) -> None:
+        if live.answered and not live.out:
+            self._live.pop(live.ident, None)
+
+    def _refuse(self, action: Refuse) -> None:
+        live = self._live.get(action.request)
+        if live is not None:
+            wait = (
+                [(b"Retry-After", b"%.3f" % (action.retry_after_us / 1e6))] if action.retry_after_us else []
+            )
+            self._answer(live, 503, wait, b"")
+
+    def _fail(self, action: Fail) -> None:
+        live = self._live.get(action.request)
+        if live is not None:
+            self._answer(live, 500, [], b"")
+
+    # -- Attempts -------------------------------------------------------------------------------------
+
+    def _send(self, action: Send) -> None:
+        live = self._live.get(action.request)
+        if live is None or live.answered:
+            ended = AttemptEnded(action.request, self._unsent(live), action.server, Outcome.UNSENT, 0, True)
+            self.handle(ended)
+            return
+        index = len(live.attempts)
+        live.attempts.append(None)
+        live.out += 1
+        until = min(action.until or live.answer_by, live.answer_by)
+        ended_ = partial(self._attempt_ended, live, index, action.server, self._clock.now())
+        order = upstream.Order(partial(_head, live.call), live.call.body)
+        exchange = self._upstream.send(action.server, order, self._clock.on_loop(until), ended_)
+        if exchange.ended is not None:
+            live.attempts[index] = exchange
+
+    @staticmethod
+    def _unsent(live: Live | None) -> int:
+        """The number of an attempt that is not made, since its request is over."""
+        if live is None:
+            return 0
+        live.attempts.append(None)
+        return len(live.attempts) - 1
+
+    def _attempt_ended(
+        self, live: Live, index: int, server: str, sent_at: int, outcome: Outcome, response: Response | None
+    ) -> None:
+        live.attempts[index] = None
+        live.out -= 1
+        if outcome is Outcome.DELIVERED and response is not None:
+            passed_on = end_to_end(response.headers, b"content-length", b"date")
+            self._answer(live, 200, passed_on, response.body)
+        elapsed = self._clock.now() - sent_at
+        report = self._report(response)
+        self._forget_if_over(live)
+        self.handle(AttemptEnded(live.ident, index, server, outcome, elapsed, live.answered, report))
+
+    def _report(self, response: Response | None) -> dict[str, float] | None:
+        if response is None:
+            return None
+        return upstream.parse_report(response.header(b"x-load-report"), self._settings.report_columns)
+
+    def _cancel(self, action: Cancel) -> None:
+        live = self._live.get(action.request)
+        attempt = live.attempts[action.attempt] if live is not None else None
+        if attempt is not None:
+            self._upstream.cancel(attempt)
+
+    def _probe(self, action: Probe) -> None:
+        reports = self._settings.report_source is not ReportSource.SILENT
+        ended = partial(self._probed, action.server, self._clock.now())
+        self._upstream.probe(action.server, "/stats" if reports else "/health/live", ended)
+
+    def _probed(self, server: str, sent_at: int, outcome: Outcome, response: Response | None) -> None:
+        report = None
+        if response is not None and outcome is Outcome.DELIVERED:
+            report = upstream.parse_probe(response.body, self._settings.report_columns)
+        self.handle(ProbeEnded(server, outcome, self._clock.now() - sent_at, report))
+
+    # -- Timers and the list --------------------------------------------------------------------------
+
+    def _set_timer(self, action: SetTimer) -> None:
+        asyncio.get_running_loop().call_later(action.in_us / 1e6, self.handle, TimerFired(action.token))
+
+    def _told(self, told: Told | None) -> None:
+        if told is not None:
+            self._list(ListKind.COMPLETE if told.complete else ListKind.CHANGES, told)
+            return
+        self.handle(ServersListed(ListKind.FAILED))
+        if self._settings.discovery is DiscoveryMode.PUSHED:
+            asyncio.get_running_loop().call_later(_PUSHED_AGAIN_S, self._discovery.follow, True)
+
+    def _list(self, kind: ListKind, told: Told) -> None:
+        """Note the addresses first: the balancer may send on hearing of a server."""
+        if kind is not ListKind.CHANGES:
+            self._upstream.retain({line.server.server for line in told.lines})
+        for line in told.lines:
+            server = line.server
+            self._upstream.update(server.server, line.address, server.started_at, server.state)
+        self.handle(ServersListed(kind, [line.server for line in told.lines], told.version))
+
+
+def _head(call: Call, left_s: float) -> h11.Request:
+    """The head of an attempt: the application's, with the time that is left for it."""
+    headers = [*call.headers, (b"X-Budget", b"%.6f" % left_s)]
+    if call.body or call.method not in (b"GET", b"HEAD"):
+        headers.append((b"Content-Length", str(len(call.body)).encode()))
+    return h11.Request(method=call.method, target=call.target, headers=headers)
--- /dev/null
+++ b/topazbank/net/upstream.py
@@ -0,0 +1,467 @@
+"""Connections to servers: pools, attempts and probes; what happened to one becomes its `Outcome`.
+
+Every byte and connection is under this file's control: nothing is resent silently, and it is known whether
+a request's last byte was written.  Only then may the server have begun it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+import socket
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
+from functools import partial
+
+import h11
+
+from topazbank.interface import Outcome, ServerState
+
+log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+Headers = list[tuple[bytes, bytes]]
+
+BODY_MOST = 64 * 1024  # of an attempt's answer, as the protocol has it
+_IDLE_MARGIN = 0.1  # an idle connection is closed this part of its time before the server would
+_PROBE_DIALS = 4.0  # a probe may take this many dial time limits
+_HOP_BY_HOP = frozenset(
+    (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade")
+)
+
+
+def end_to_end(headers: Iterable[tuple[bytes, bytes]], *dropped: bytes) -> Headers:
+    """What may be passed on: no header that belongs to one connection, nor those named."""
+    return [(n, v) for n, v in headers if n not in _HOP_BY_HOP and n not in dropped]
+
+
+def parse_address(text: str) -> Address:
+    """Read host:port; raise ValueError on anything else."""
+    host, colon, port = text.rpartition(":")
+    if not host or not colon or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"an address host:port is needed, not {text!r:.60}")
+    return host.strip("[]"), int(port)
+
+
+def is_quiet(sock: socket.socket) -> bool:
+    """Whether a connection holds nothing unread: no byte, no end, no error."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return True
+    except OSError:
+        return False
+    return False
+
+
+@dataclass(slots=True)
+class Response:
+    """A whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> str | None:
+        return next((v.decode("latin-1") for n, v in self.headers if n == name), None)
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a server; it carries one request at a time."""
+
+    def __init__(self, sock: socket.socket, body_most: int) -> None:
+        self.sock = sock
+        self.reusable = True
+        self._body_most = body_most
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._ended: Callable[[Response | None], None] | None = None
+        self._written = False
+        self._head: h11.Response | None = None
+        self._body = bytearray()
+        self.on_lost: Callable[[], None] = lambda: None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)  # so that an emptied buffer is told of
+
+    @property
+    def written(self) -> bool:
+        """Whether the request's last byte has gone to the kernel."""
+        return self._written
+
+    def is_idle(self) -> bool:
+        """Whether it may carry another request: guards against EOF or bytes that nobody has read yet."""
+        open_ = self._transport is not None and not self._transport.is_closing()
+        return open_ and self.reusable and self._ended is None and is_quiet(self.sock)
+
+    def request(self, head: h11.Request, body: bytes, ended: Callable[[Response | None], None]) -> None:
+        """Write a request; `ended` is called once, with the whole answer or with None if it broke."""
+        assert self._transport is not None
+        self._ended, self._written = ended, False
+        events = [head, h11.Data(data=body), h11.EndOfMessage()] if body else [head, h11.EndOfMessage()]
+        data = b"".join(self._h11.send(each) or b"" for each in events)
+        self._transport.write(data)
+        # A failed write closes the transport and empties its buffer, with nothing of it sent.
+        self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
+
+    def resume_writing(self) -> None:
+        self._written = self._ended is not None
+
+    def data_received(self, data: bytes) -> None:
+        if self._ended is None:
+            self.abort()  # stray bytes: what they answer is anyone's guess
+            return
+        self._feed(data)
+
+    def eof_received(self) -> bool:
+        if self._ended is not None:
+            self._feed(b"")
+        return False
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._h11.receive_data(data)
+            while self._next_event():
+                pass
+        except h11.RemoteProtocolError as broken:
+            log.debug("answer cut short or malformed: %s", broken)
+            self._finish(None)
+
+    def _next_event(self) -> bool:
+        event = self._h11.next_event()
+        if isinstance(event, h11.Response):
+            self._head = event
+        elif isinstance(event, h11.Data):
+            self._body += event.data
+            if len(self._body) > self._body_most:
+                self._finish(None)
+                return False
+        elif isinstance(event, h11.EndOfMessage):
+            self._finish(self._response())
+            return False
+        return not isinstance(event, h11.ConnectionClosed | type(h11.NEED_DATA))
+
+    def _response(self) -> Response | None:
+        head = self._head
+        if head is None:
+            return None
+        response = Response(head.status_code, list(head.headers), bytes(self._body))
+        framed = response.header(b"content-length") or response.header(b"transfer-encoding")
+        # An answer that ends with its connection can't be told from one cut short.
+        return response if framed is not None or head.status_code in (204, 304) else None
+
+    def _finish(self, response: Response | None) -> None:
+        ended, self._ended = self._ended, None
+        self._head, self._body = None, bytearray()
+        done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        if response is None or not done or not self._written or self._h11.trailing_data[0]:
+            self.abort()
+        else:
+            self._h11.start_next_cycle()
+        if ended is not None:
+            ended(response)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.reusable = False
+        ended, self._ended = self._ended, None
+        if ended is not None:
+            ended(None)
+        self.on_lost()
+
+    def abort(self) -> None:
+        """Close at once; what is not written yet never will be."""
+        self.reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+
+async def connect(address: Address, body_most: int) -> Connection:
+    """Dial; raise OSError where no connection comes up."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await loop.sock_connect(sock, address)
+        _, connection = await loop.create_connection(partial(Connection, sock, body_most), sock=sock)
+    except BaseException:
+        sock.close()
+        raise
+    return connection
+
+
+@dataclass(slots=True, eq=False)
+class Endpoint:
+    """Where a server listens now, and the connections to it that carry nothing."""
+
+    name: str
+    address: Address
+    started_at: int | None
+    state: ServerState
+    generation: int = 0  # of its process: older connections are not used again
+    idle: list[tuple[Connection, asyncio.TimerHandle]] = field(default_factory=list)
+    dialling: set[Exchange] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Order:
+    """A request to a server; its head is made when it is written, since it tells the time left."""
+
+    head: Callable[[float], h11.Request]
+    body: bytes = b""
+
+
+Ended = Callable[[Outcome, Response | None], None]
+
+
+class Exchange:
+    """One attempt or probe, from the dial to its one outcome."""
+
+    def __init__(self, endpoint: Endpoint, order: Order, until: float, ended: Ended) -> None:
+        self.endpoint = endpoint
+        self.generation = endpoint.generation
+        self.order = order
+        self.until = until  # on the event loop's clock
+        self.ended: Ended | None = ended
+        self.connection: Connection | None = None
+        self.dial: asyncio.Task[bool] | None = None
+        self.timers: list[asyncio.TimerHandle] = []
+
+    def end(self, outcome: Outcome, response: Response | None = None) -> None:
+        """Tell the outcome, once; what comes later is nobody's."""
+        ended, self.ended = self.ended, None
+        if ended is None:
+            return
+        for timer in self.timers:
+            timer.cancel()
+        self.endpoint.dialling.discard(self)
+        if outcome in (Outcome.EXPIRED, Outcome.CANCELLED, Outcome.DIAL_FAILED):
+            if self.connection is not None:
+                self.connection.abort()  # this is how an attempt is given up
+            if self.dial is not None:
+                self.dial.cancel()
+        ended(outcome, response)
+
+
+def judge(response: Response | None, written: bool) -> Outcome:
+    """What an ended exchange proves: it never ran only if that is certain."""
+    if response is None:
+        return Outcome.DROPPED if written else Outcome.DIAL_FAILED
+    if response.status == 200:
+        return Outcome.DELIVERED
+    if response.status in (503, 504) and response.header(b"x-rejected") == "1":
+        return Outcome.FULL
+    return Outcome.ERROR
+
+
+class Upstream:
+    """All connections to servers, within a bound on their number."""
+
+    def __init__(self, dial_limit_s: float, idle_s: float, most: int) -> None:
+        self._dial_limit = dial_limit_s
+        self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
+        self._most = most
+        self._open = 0  # connections, and dials under way
+        self._endpoints: dict[str, Endpoint] = {}
+
+    def update(self, name: str, address: Address, started_at: int | None, state: ServerState) -> None:
+        """Note what the list says of a server; a new process or place makes its old connections useless."""
+        known = self._endpoints.get(name)
+        if known is None:
+            self._endpoints[name] = Endpoint(name, address, started_at, state)
+            return
+        if (known.address, known.started_at) != (address, started_at):
+            known.address, known.started_at = address, started_at
+            known.generation += 1
+            self.close_idle(name)
+        known.state = state
+        if state is not ServerState.READY:
+            self._withdraw(known)
+
+    def retain(self, names: Collection[str]) -> None:
+        """Drop all servers but these."""
+        for endpoint in self._endpoints.values():
+            if endpoint.name not in names:
+                endpoint.state = ServerState.GONE
+                self._withdraw(endpoint)
+
+    def _withdraw(self, endpoint: Endpoint) -> None:
+        """End what was not written to a server that takes nothing new: a slow dial may outlast the grace."""
+        self.close_idle(endpoint.name)
+        for exchange in list(endpoint.dialling):
+            exchange.end(Outcome.DIAL_FAILED)
+
+    def send(self, name: str, order: Order, until: float, ended: Ended) -> Exchange:
+        """Start an attempt; `ended` hears its outcome exactly once, maybe before this returns."""
+        endpoint = self._endpoints[name]
+        loop = asyncio.get_running_loop()
+        exchange = Exchange(endpoint, order, until, ended)
+        if until <= loop.time():
+            exchange.end(Outcome.UNSENT)
+            return exchange
+        exchange.timers.append(loop.call_at(until, self._time_up, exchange))
+        connection = self._take_idle(endpoint)
+        if connection is not None:
+            self._write(exchange, connection)
+        elif self._make_room():
+            self._open += 1
+            endpoint.dialling.add(exchange)
+            limit = loop.time() + self._dial_limit
+            exchange.timers.append(loop.call_at(limit, self._dial_time_up, exchange))
+            exchange.dial = loop.create_task(self._dial(exchange))
+            exchange.dial.add_done_callback(self._dialled)
+        else:
+            log.warning("no connection to spare for %s", name)
+            exchange.end(Outcome.DIAL_FAILED)
+        return exchange
+
+    def probe(self, name: str, target: str, ended: Ended) -> Exchange:
+        """Ask a server how it is."""
+        host = ("Host", name)
+        order = Order(lambda _: h11.Request(method="GET", target=target, headers=[host]))
+        until = asyncio.get_running_loop().time() + _PROBE_DIALS * self._dial_limit
+        return self.send(name, order, until, ended)
+
+    def cancel(self, exchange: Exchange) -> None:
+        exchange.end(Outcome.CANCELLED)
+
+    def close_idle(self, name: str) -> None:
+        endpoint = self._endpoints.get(name)
+        while endpoint is not None and endpoint.idle:
+            connection, timer = endpoint.idle.pop()
+            timer.cancel()
+            connection.abort()
+
+    @staticmethod
+    def _time_up(exchange: Exchange) -> None:
+        connection = exchange.connection
+        exchange.end(
+            Outcome.EXPIRED if connection is not None and connection.written else Outcome.DIAL_FAILED
+        )
+
+    @staticmethod
+    def _dial_time_up(exchange: Exchange) -> None:
+        if exchange.connection is None:
+            exchange.end(Outcome.DIAL_FAILED)
+
+    def _take_idle(self, endpoint: Endpoint) -> Connection | None:
+        while endpoint.idle:
+            connection, timer = endpoint.idle.pop()
+            timer.cancel()
+            if connection.is_idle():
+                return connection
+            connection.abort()
+        return None
+
+    def _make_room(self) -> bool:
+        """Whether one more connection may be opened, perhaps for an idle one elsewhere."""
+        if self._open < self._most:
+            return True
+        idle = [each for each in self._endpoints.values() if each.idle]
+        if not idle:
+            return False
+        fullest = max(idle, key=lambda each: len(each.idle))
+        connection, timer = fullest.idle.pop(0)
+        timer.cancel()
+        connection.abort()
+        return True
+
+    async def _dial(self, exchange: Exchange) -> bool:
+        """Dial and write; say whether there is a connection now."""
+        endpoint = exchange.endpoint
+        try:
+            connection = await connect(endpoint.address, BODY_MOST)
+        except OSError as fault:
+            log.debug("no connection to %s: %r", endpoint.name, fault)
+            exchange.end(Outcome.DIAL_FAILED)
+            return False
+        connection.on_lost = self._lost
+        if exchange.ended is None:
+            connection.abort()
+        else:
+            self._write(exchange, connection)
+        return True
+
+    def _dialled(self, dial: asyncio.Task[bool]) -> None:
+        if dial.cancelled() or not dial.result():
+            self._lost()
+
+    def _lost(self) -> None:
+        self._open -= 1
+
+    def _write(self, exchange: Exchange, connection: Connection) -> None:
+        exchange.connection = connection
+        exchange.endpoint.dialling.discard(exchange)
+        left = exchange.until - asyncio.get_running_loop().time()
+        head = exchange.order.head(max(left, 0.0))
+        connection.request(head, exchange.order.body, partial(self._answered, exchange, connection))
+
+    def _answered(self, exchange: Exchange, connection: Connection, response: Response | None) -> None:
+        self._put_back(exchange, connection)
+        exchange.end(judge(response, connection.written), response)
+
+    def _put_back(self, exchange: Exchange, connection: Connection) -> None:
+        """Keep a connection for the next request, for less long than the server keeps it."""
+        endpoint = exchange.endpoint
+        if not connection.reusable:
+            return
+        if exchange.generation != endpoint.generation or endpoint.state is not ServerState.READY:
+            connection.abort()
+            return
+        timer = asyncio.get_running_loop().call_later(self._idle_s, self._idle_over, endpoint, connection)
+        endpoint.idle.append((connection, timer))
+
+    @staticmethod
+    def _idle_over(endpoint: Endpoint, connection: Connection) -> None:
+        endpoint.idle = [each for each in endpoint.idle if each[0] is not connection]
+        connection.abort()
+
+    async def close(self) -> None:
+        """Close what is idle and wait for dials to end."""
+        dials = [each.dial for e in self._endpoints.values() for each in e.dialling if each.dial is not None]
+        for endpoint in list(self._endpoints.values()):
+            self._withdraw(endpoint)
+        await asyncio.gather(*dials, return_exceptions=True)
+
+
+# -- Load reports -------------------------------------------------------------------------------------
+
+
+def parse_report(text: str | None, columns: Collection[str]) -> dict[str, float] | None:
+    """Read a load report's text form; what is junk or not named by the settings is passed over."""
+    if text is None or not columns:
+        return None
+    kind, _, rest = text.strip().partition(" ")
+    if kind.upper() != "TEXT":
+        log.warning("load report skipped: %.80r", text)
+        return None
+    report = {}
+    for part in rest.split(","):
+        name, _, value = part.partition("=")
+        try:
+            figure = float(value)
+        except ValueError:
+            figure = math.nan
+        if not math.isfinite(figure):
+            log.warning("load figure skipped: %.80r", part)
+        elif name.strip() in columns:
+            report[name.strip()] = figure
+    return report or None
+
+
+def parse_probe(body: bytes, columns: Collection[str]) -> dict[str, float] | None:
+    """Read the report that a probe's body holds, in either of its forms."""
+    text = body.decode("utf-8", "replace").strip()
+    if not text.startswith("{"):
+        return parse_report(text, columns)
+    try:
+        given = json.loads(text)
+    except ValueError:
+        log.warning("load report skipped: %.80r", text)
+        return None
+    figures = {k: v for k, v in given.items() if k in columns and isinstance(v, int | float)}
+    return {k: float(v) for k, v in figures.items() if math.isfinite(v)} or None
