Test the sockets over loopback; keyed requests need their key; one end for each attempt

Seen while writing the tests: a keyed request without Idempotency-Key was sent on, though servers could not drop its repeats (now 400); an attempt whose start failed by a defect stayed counted as out for good (the outcomes are now kept by number, each ended once).

--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,413 @@
+"""Attempts over loopback: what goes out, what comes back, and what each end proves."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import h11
+import pytest
+from helpers import S
+from loopback import (
+    PATIENCE_S,
+    FakeServer,
+    answer,
+    ask,
+    play,
+    request,
+    reset,
+    until,
+    world,
+)
+
+from topazbank.interface import Outcome, ServerState
+from topazbank.net.upstream import Address, Exchange, Order, Response, Upstream, connect, judge, parse_report
+
+
+def served(*_: object) -> bytes:
+    return answer(200, b"served")
+
+
+def hung(*_: object) -> None:
+    return None
+
+
+def broken(*_: object) -> bytes:
+    return b""
+
+
+def full(*_: object) -> bytes:
+    return answer(503, b"", X_Rejected="1")
+
+
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() -> None:
+    async def scene() -> None:
+        body = bytes(range(256)) * 16
+        async with world(lambda *_: answer(200, body, Content_Type="x/y")) as w:
+            sent = request("amend", "/api/7f3a?q=1", b"\0body\xff", X_Caller="acme")
+            status, headers, got = await ask(w.sidecar.frontend.address, sent)
+            assert (status, headers["content-type"], got) == (200, "x/y", body)
+            ((first, given, there),) = w.sent()
+            assert first == "POST /api/7f3a?q=1 HTTP/1.1" and there == b"\0body\xff"
+            assert given["x-call-id"] == "9b1f03aa5c7e2d41" and given["idempotency-key"] == "5c0f6e1a"
+            assert 0.0 < float(given["x-budget"]) < 5.0
+
+    play(scene())
+
+
+# Guards rule 2: of an unsafe request only these ends prove that it never ran.
+@pytest.mark.parametrize(
+    ("reply", "status", "attempts"),
+    [
+        (answer(503, b"", X_Rejected="1"), 200, 2),
+        (answer(504, b"", X_Rejected="1"), 200, 2),
+        (answer(503, b""), 500, 1),
+        (answer(500, b"", X_Rejected="1"), 500, 1),
+        (b"", 500, 1),
+        (b"HTTP/1.1 200 X\r\nContent-Length: 10\r\nConnection: close\r\n\r\nshort", 500, 1),
+        (b"nonsense\r\n\r\n", 500, 1),
+    ],
+)
+def test_an_unsafe_request_is_sent_again_only_where_it_never_ran(
+    reply: bytes, status: int, attempts: int
+) -> None:
+    async def scene() -> None:
+        replies = [reply]
+
+        def first_so(*_: object) -> bytes:
+            return replies.pop() if replies else answer(200, b"served")
+
+        async with world(first_so, first_so, first_so) as w:
+            got, _, body = await w.ask(kind="pay", body=b"x")
+            assert got == status and (body == b"served") == (status == 200)
+            assert len(w.sent()) == attempts
+
+    play(scene())
+
+
+def test_a_refused_connection_lets_even_an_unsafe_request_go_elsewhere() -> None:
+    async def scene() -> None:
+        async with world(served, served) as w:
+            w.servers[0].stop()
+            for _ in range(3):
+                assert (await w.ask(kind="pay", body=b"x"))[0] == 200
+
+    play(scene())
+
+
+# Guards rule 1: an answer that ends with its connection may have been cut short, so it is never passed on.
+@pytest.mark.parametrize(
+    "cut",
+    [
+        b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\nperhaps all of it",
+        b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\nnot all of it",
+        b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nnot a\r\n",
+    ],
+)
+def test_a_body_that_may_not_be_whole_is_not_passed_on(cut: bytes) -> None:
+    async def scene() -> None:
+        async with world(lambda *_: cut) as w:
+            asking = asyncio.create_task(w.ask(kind="pay", body=b"x"))
+            await until(w.sent)
+            await asyncio.sleep(0)
+            server = w.servers[0]
+            await until(lambda: server.writers)
+            server.writers[0].close()
+            assert (await asking)[0] == 500
+
+    play(scene())
+
+
+def test_a_hung_server_leaves_time_for_an_answer_and_its_connection_is_closed() -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            status, _, _ = await w.ask(kind="pay", body=b"x", budget="0.6")
+            assert status == 500 and 0.3 < loop.time() - began
+            await until(lambda: w.servers[0].closed == 1)
+            assert len(w.sent()) == 1
+
+    play(scene())
+
+
+def test_a_client_that_leaves_ends_its_attempt() -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request("pay", body=b"x"))
+            await until(w.sent)
+            writer.close()
+            await until(lambda: w.servers[0].closed == 1)
+            assert not w.sidecar._live  # the late outcome reached the module, and nothing is kept
+
+    play(scene())
+
+
+def test_connections_are_used_again() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            for _ in range(5):
+                assert (await w.ask())[0] == 200
+            assert len(w.servers[0].writers) == 1
+
+    play(scene())
+
+
+# Guards against a request that is written to a connection which its server has already ended.
+@pytest.mark.parametrize("how", ["end", "stray"])
+def test_a_connection_with_an_end_or_stray_bytes_is_not_used_again(how: str) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            assert (await w.ask(kind="pay", body=b"x"))[0] == 200
+            connection = w.sidecar._upstream._endpoints["s-0"].idle[0][0]
+            writer = w.servers[0].writers[0]
+            if how == "end":
+                raw = writer.get_extra_info("socket")
+                raw.shutdown(socket.SHUT_WR)
+            else:
+                writer.write(b"HTTP/1.1 200 X\r\n")
+            # Blocks until the kernel has it, so that the event loop can't have seen it: the peek must.
+            connection.sock.setblocking(True)
+            assert connection.sock.recv(1, socket.MSG_PEEK) is not None
+            connection.sock.setblocking(False)
+            assert not connection.is_idle()
+            assert (await w.ask(kind="pay", body=b"x"))[0] == 200
+            assert len(w.servers[0].writers) == 2
+
+    play(scene())
+
+
+def test_an_idle_connection_is_closed_before_its_server_would() -> None:
+    async def scene() -> None:
+        limits = {"max_attempts": 3, "may_cancel": True, "idle_close_us": 1 * S}
+        async with world(served, limits=limits) as w:
+            assert (await w.ask())[0] == 200
+            loop = asyncio.get_running_loop()
+            timer = w.sidecar._upstream._endpoints["s-0"].idle[0][1]
+            assert timer.when() - loop.time() < 0.95
+            await until(lambda: w.servers[0].closed == 1)
+
+    play(scene())
+
+
+def test_junk_load_reports_are_skipped() -> None:
+    columns = ("util", "qps")
+    assert parse_report("TEXT util=0.5, qps=7, other=1", columns) == {"util": 0.5, "qps": 7.0}
+    for junk in ("TEXT util=nan", "TEXT util", "BIN xyz", "", "TEXT "):
+        assert parse_report(junk, columns) is None
+    assert parse_report("TEXT util=inf, qps=3", columns) == {"qps": 3.0}
+    assert parse_report("TEXT util=0.5", ()) is None
+
+    async def scene() -> None:
+        report = {"source": "answers", "columns": ["util"]}
+        async with world(lambda *_: answer(200, b"x", X_Load_Report="TEXT util=;;="), report=report) as w:
+            assert (await w.ask())[0] == 200
+
+    play(scene())
+
+
+# -- The connections themselves
+
+
+async def outcome_of(upstream: Upstream, seconds: float = 5.0, body: bytes = b"") -> Outcome:
+    loop = asyncio.get_running_loop()
+    ended: asyncio.Future[Outcome] = loop.create_future()
+
+    def end(outcome: Outcome, _: Response | None) -> None:
+        ended.set_result(outcome)  # a second outcome would raise here
+
+    upstream.send("s", order(body), loop.time() + seconds, end)
+    return await asyncio.wait_for(ended, PATIENCE_S)
+
+
+def order(body: bytes = b"") -> Order:
+    return Order(lambda _: head(body), body)
+
+
+def head(body: bytes = b"") -> h11.Request:
+    headers = [("Host", "x"), ("Content-Length", str(len(body)))]
+    return h11.Request(method="POST", target="/", headers=headers)
+
+
+def test_a_break_before_the_last_byte_was_written_proves_that_it_never_ran() -> None:
+    async def scene() -> None:
+        body = bytes(32 * 1024 * 1024)  # more than the kernel takes: the rest waits in the transport
+        listener = socket.create_server(("127.0.0.1", 0))
+        connection = await connect(listener.getsockname()[:2], 1024)
+        other, _ = listener.accept()
+        ended: asyncio.Future[Response | None] = asyncio.get_running_loop().create_future()
+        connection.request(head(body), body, ended.set_result)
+        assert not connection.written
+        other.close()  # with bytes unread: a reset
+        assert await asyncio.wait_for(ended, PATIENCE_S) is None
+        assert judge(None, connection.written) is Outcome.DIAL_FAILED
+        listener.close()
+
+    play(scene())
+
+
+def test_a_request_counts_as_written_once_the_transport_has_passed_all_of_it_on() -> None:
+    async def scene() -> None:
+        body = bytes(32 * 1024 * 1024)
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        connection = await connect(listener.getsockname()[:2], 1024)
+        other, _ = listener.accept()
+        reader, writer = await asyncio.open_connection(sock=other, limit=2**26)
+        ended: asyncio.Future[Response | None] = asyncio.get_running_loop().create_future()
+        connection.request(head(body), body, ended.set_result)
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(len(body))
+        await until(lambda: connection.written)
+        reset(writer)
+        assert await asyncio.wait_for(ended, PATIENCE_S) is None
+        assert judge(None, connection.written) is Outcome.DROPPED
+        listener.close()
+
+    play(scene())
+
+
+@contextlib.contextmanager
+def deaf() -> Iterator[Address]:
+    """A listener whose queue is full: connections to it never come up."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    fillers = [socket.socket() for _ in range(8)]
+    for each in fillers:
+        each.setblocking(False)
+        each.connect_ex(listener.getsockname())
+    try:
+        yield listener.getsockname()[:2]
+    finally:
+        for each in (*fillers, listener):
+            each.close()
+
+
+@pytest.mark.parametrize(("dial_limit", "seconds"), [(0.1, 30.0), (30.0, 0.1)])
+def test_a_dial_ends_at_its_own_limit_and_at_the_end_of_the_attempt(
+    dial_limit: float, seconds: float
+) -> None:
+    async def scene() -> None:
+        with deaf() as address:
+            upstream = Upstream(dial_limit, 60.0, 10)
+            upstream.update("s", address, None, ServerState.READY)
+            assert await outcome_of(upstream, seconds) is Outcome.DIAL_FAILED
+            await until(lambda: upstream._open == 0)
+
+    play(scene())
+
+
+@pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
+def test_a_dial_under_way_to_a_server_that_leaves_is_ended(state: ServerState) -> None:
+    # Guards rule 3: a slow dial would write its request after the grace.
+    async def scene() -> None:
+        with deaf() as address:
+            upstream = Upstream(30.0, 60.0, 10)
+            upstream.update("s", address, None, ServerState.READY)
+            sending = asyncio.create_task(outcome_of(upstream))
+            await until(lambda: upstream._open == 1)
+            upstream.update("s", address, None, state)
+            assert await sending is Outcome.DIAL_FAILED
+            await until(lambda: upstream._open == 0)
+
+    play(scene())
+
+
+def test_an_attempt_whose_time_is_up_is_never_sent() -> None:
+    async def scene() -> None:
+        upstream = Upstream(1.0, 60.0, 10)
+        upstream.update("s", ("127.0.0.1", 1), None, ServerState.READY)
+        assert await outcome_of(upstream, -1.0) is Outcome.UNSENT
+
+    play(scene())
+
+
+def test_a_cancelled_attempt_has_one_outcome_and_its_connection_is_closed() -> None:
+    async def scene() -> None:
+        server = FakeServer("s", hung)
+        await server.start()
+        upstream = Upstream(1.0, 60.0, 10)
+        upstream.update("s", server.address, None, ServerState.READY)
+        outcomes: list[Outcome] = []
+        loop = asyncio.get_running_loop()
+        exchange: Exchange = upstream.send("s", order(), loop.time() + 30, lambda o, _: outcomes.append(o))
+        await until(lambda: server.requests)
+        upstream.cancel(exchange)
+        upstream.cancel(exchange)
+        await until(lambda: server.closed == 1)
+        assert outcomes == [Outcome.CANCELLED] and upstream._open == 0
+        server.stop()
+
+    play(scene())
+
+
+def test_a_restarted_or_moved_server_loses_its_old_connections() -> None:
+    async def scene() -> None:
+        server = FakeServer("s", served)
+        await server.start()
+        upstream = Upstream(1.0, 60.0, 10)
+        upstream.update("s", server.address, None, ServerState.READY)
+        assert await outcome_of(upstream) is Outcome.DELIVERED
+        upstream.update("s", server.address, 5, ServerState.READY)
+        await until(lambda: server.closed == 1)
+        assert await outcome_of(upstream) is Outcome.DELIVERED
+        assert len(server.writers) == 2
+        other = FakeServer("s", served)
+        await other.start()
+        upstream.update("s", other.address, 5, ServerState.READY)
+        assert await outcome_of(upstream) is Outcome.DELIVERED
+        assert len(other.requests) == 1
+        server.stop()
+        other.stop()
+
+    play(scene())
+
+
+def test_connections_stay_within_their_bound() -> None:
+    # Guards the descriptors: an idle connection elsewhere makes room, one in use does not.
+    async def scene() -> None:
+        servers = [FakeServer("a", served), FakeServer("s", hung)]
+        upstream = Upstream(1.0, 60.0, 1)
+        for each in servers:
+            await each.start()
+            upstream.update(each.name, each.address, None, ServerState.READY)
+        loop = asyncio.get_running_loop()
+        ended: list[Outcome] = []
+        upstream.send("a", order(), loop.time() + 30, lambda o, _: ended.append(o))
+        await until(lambda: ended)
+        upstream.send("s", order(), loop.time() + 30, lambda o, _: ended.append(o))
+        await until(lambda: servers[1].requests)
+        assert await outcome_of(upstream) is Outcome.DIAL_FAILED
+        for each in servers:
+            each.stop()
+
+    play(scene())
+
+
+def test_a_slow_reader_does_not_hold_up_others() -> None:
+    async def scene() -> None:
+        async with world(lambda *_: answer(200, bytes(60_000))) as w:
+            slow = socket.socket()
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            slow.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(slow, w.sidecar.frontend.address)
+            reader, writer = await asyncio.open_connection(sock=slow, limit=16)
+            writer.write(request() * 50)  # and it reads nothing
+            await until(w.sent)
+            assert len((await w.ask())[2]) == 60_000
+            for _ in range(3):
+                assert (await read_answer_slowly(reader)) == 60_000
+            writer.close()
+
+    play(scene())
+
+
+async def read_answer_slowly(reader: asyncio.StreamReader) -> int:
+    head_bytes = b""
+    while not head_bytes.endswith(b"\r\n\r\n"):
+        head_bytes += await asyncio.wait_for(reader.readexactly(1), PATIENCE_S)
+    return len(await asyncio.wait_for(reader.readexactly(60_000), PATIENCE_S))
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,173 @@
+"""Discovery over loopback, and how its news reach the balancer and the connections."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from helpers import S
+from loopback import FakeDiscovery, answer, play, until, world
+
+from topazbank.interface import ServerState
+from topazbank.net.discovery import Discovery, Told, parse_list
+
+
+def served(*_: object) -> bytes:
+    return answer(200, b"served")
+
+
+def entry(name: Any = "s-1", **changes: Any) -> dict[str, Any]:
+    given = {"name": name, "address": "127.0.0.1:9", "zone": "a", "type": "m", "group": 1}
+    return given | {"status": "active", "weight": 1.0, "since_ms": 0} | changes
+
+
+def test_the_watch_goes_on_from_the_known_list_and_again_at_once() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            for index in (42, 43, 44):
+                w.discovery.say(index, [])
+            await until(lambda: len(w.discovery.targets) == 4)
+            paths = [each.split("&")[0] for each in w.discovery.targets]
+            assert paths == [f"/registry/instances?after={index}" for index in (41, 42, 43, 44)]
+            assert min(w.discovery.called_after_s) < 0.2  # later it would be a new watch
+
+    play(scene())
+
+
+def test_changes_and_whole_lists_reach_the_balancer() -> None:
+    async def scene() -> None:
+        async with world(served, served) as w:
+            states = w.sidecar._balancer._servers
+            first, second = w.servers
+            w.discovery.say(42, [first.entry(status="leaving")])
+            await until(lambda: states["s-0"].state is ServerState.DRAINING)
+            for _ in range(10):
+                assert (await w.ask())[0] == 200
+            assert not first.requests
+            w.discovery.say(43, [first.entry()], snapshot=True)  # who is missing is gone
+            await until(lambda: states["s-1"].state is ServerState.GONE)
+            seen = len(second.requests)
+            for _ in range(10):
+                assert (await w.ask())[0] == 200
+            assert len(second.requests) == seen
+
+    play(scene())
+
+
+def test_a_server_that_restarted_is_cold_from_then_on() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            server = w.sidecar._balancer._servers["s-0"]
+            since_ms = w.sidecar._clock.now() // 1000
+            w.discovery.say(42, [w.servers[0].entry(since_ms=since_ms)])
+            await until(lambda: server.started_at == since_ms * 1000)
+            assert w.sidecar._balancer._is_cold(server)
+
+    play(scene())
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        answer(503, b""),
+        answer(200, b"not json"),
+        answer(200, b'{"index": "x", "endpoints": []}'),
+        answer(200, b"[]"),
+        b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\n{",
+    ],
+)
+def test_a_failed_call_is_told_and_the_module_asks_again(bad: bytes) -> None:
+    async def scene() -> None:
+        async with world(served, rules={"ask_within_us": 1 * S}) as w:
+            w.discovery.answers.put_nowait(bad)
+            await until(lambda: len(w.discovery.targets) == 2)
+            assert w.sidecar._balancer._failed_calls == 1
+            assert (await w.ask())[0] == 200
+
+    play(scene())
+
+
+def test_discovery_that_is_down_is_a_failed_call() -> None:
+    async def scene() -> None:
+        heard: list[Told | None] = []
+        down = FakeDiscovery()
+        await down.start()
+        down.stop()
+        discovery = Discovery(down.address, 1, heard.append)
+        discovery.follow(True)
+        await until(lambda: heard == [None])
+        await until(lambda: discovery._watch is None or discovery._watch.done())
+        discovery.follow(True)  # and a new watch may begin
+        await until(lambda: heard == [None, None])
+
+    play(scene())
+
+
+def test_a_watch_under_way_is_not_doubled_and_can_be_ended() -> None:
+    async def scene() -> None:
+        service = FakeDiscovery()
+        await service.start()
+        heard: list[Told | None] = []
+        discovery = Discovery(service.address, 1, heard.append)
+        for _ in range(3):
+            discovery.follow(True)
+        await until(lambda: service.targets)
+        discovery.fetch()
+        await until(lambda: len(service.targets) == 2)
+        assert service.targets[1] == "/registry/instances"
+        service.say(7, [entry()], snapshot=True)
+        await until(lambda: heard)
+        discovery.follow(False)
+        assert discovery._watch is None
+        service.stop()
+
+    play(scene())
+
+
+def test_pushed_lists_are_read_without_being_asked_for() -> None:
+    async def scene() -> None:
+        async with world(served, discovery="pushed") as w:
+            w.discovery.answers.put_nowait(answer(503, b""))
+            w.discovery.say(42, [w.servers[0].entry(status="leaving")])
+            await until(lambda: w.sidecar._balancer._servers["s-0"].state is ServerState.DRAINING)
+
+    play(scene())
+
+
+def test_a_list_holds_what_makes_sense_and_junk_is_skipped() -> None:
+    junk: list[Any] = [
+        7,
+        None,
+        [],
+        {},
+        entry(name=3),
+        entry(name=""),
+        entry(address="nowhere"),
+        entry(address="127.0.0.1:99999"),
+        entry(address=None),
+        entry(group="x"),
+        entry(weight="heavy"),
+        entry(weight=float("nan")),
+        entry(since_ms=-1),
+        entry(status=[]),
+    ]
+    told = parse_list({"index": 5, "snapshot": True, "endpoints": [*junk, entry(since_ms=2, group=3)]})
+    assert [each.server.server for each in told.lines] == ["s-1"]
+    line = told.lines[0]
+    assert (told.version, told.complete, line.address) == (5, True, ("127.0.0.1", 9))
+    assert (line.server.started_at, line.server.cell, line.server.zone) == (2000, 3, "a")
+    assert parse_list({"index": 5, "endpoints": [entry()]}).lines[0].server.started_at is None
+
+
+@pytest.mark.parametrize(
+    ("status", "state"),
+    [
+        ("active", ServerState.READY),
+        ("leaving", ServerState.DRAINING),
+        ("left", ServerState.GONE),
+        ("resting", ServerState.DRAINING),
+    ],
+)
+def test_a_status_that_is_not_known_takes_nothing_new(status: str, state: ServerState) -> None:
+    told = parse_list({"index": 5, "snapshot": False, "endpoints": [entry(status=status)]})
+    assert told.lines[0].server.state is state
--- /dev/null
+++ b/tests/test_frontend.py
@@ -0,0 +1,245 @@
+"""The application's side over loopback: bad input, reuse, defects, bounds."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from typing import get_args
+
+import pytest
+from loopback import PATIENCE_S, answer, ask, is_closed, play, read_answer, request, until, world
+
+from topazbank import balancer
+from topazbank.interface import Action, Event, Refuse, RequestArrived
+from topazbank.net.frontend import ClientConnection, Frontend, Hooks
+
+
+def served(*_: object) -> bytes:
+    return answer(200, b"served")
+
+
+BIG = bytes(64 * 1024 + 1)
+
+
+# Guards servers against what this sidecar could not account for: none of these may be sent on.
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /api/1 HTTP/1.1\r\nHost: x\r\nContent-Length: many\r\n\r\n", 400),
+        (b"GET /api/1 HTTP/1.1\r\nHost: x\r\nX-Long: " + bytes([97]) * 200_000 + b"\r\n\r\n", 400),
+        (request(X_Call_Id=None), 400),
+        (request(X_Call_Id=""), 400),
+        (request(X_Call_Class=None), 400),
+        (request(X_Budget=None), 400),
+        (request(budget="soon"), 400),
+        (request(budget="nan"), 400),
+        (request(budget="-1"), 400),
+        (request(X_Call_Cost="much"), 400),
+        (request("amend", body=b"x", Idempotency_Key=None), 400),
+        (request("pay", body=BIG), 413),
+        (
+            request("pay", Content_Length=None, Transfer_Encoding="chunked")
+            + b"10001\r\n"
+            + BIG
+            + b"\r\n0\r\n\r\n",
+            413,
+        ),
+        (request(path="/elsewhere"), 404),
+        (request(path="/apix/1"), 404),
+    ],
+)
+def test_bad_input_is_answered_and_never_sent_on(data: bytes, status: int) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            got, _, _ = await ask(w.sidecar.frontend.address, data)
+            assert got == status
+            assert (await w.ask())[0] == 200  # and the sidecar goes on
+            assert len(w.sent()) == 1
+
+    play(scene())
+
+
+@pytest.mark.parametrize(
+    ("data", "goes_on"),
+    [(request(X_Call_Id=None), True), (b"nonsense\r\n\r\n", False), (request("pay", body=BIG), False)],
+)
+def test_a_connection_goes_on_only_where_its_framing_holds(data: bytes, goes_on: bool) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(data)
+            assert (await read_answer(reader))[0] in (400, 413)
+            if goes_on:
+                writer.write(request())
+                assert (await read_answer(reader))[0] == 200
+            else:
+                assert await is_closed(reader)
+            writer.close()
+
+    play(scene())
+
+
+def test_requests_on_one_connection_are_answered_in_order_even_if_sent_ahead() -> None:
+    async def scene() -> None:
+        async with world(lambda first, *_: answer(200, first.encode())) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(b"".join(request(path=f"/api/{number}") for number in range(20)))
+            for number in range(20):
+                assert f"/api/{number} " in (await read_answer(reader))[2].decode()
+            writer.close()
+
+    play(scene())
+
+
+def test_a_body_of_the_largest_size_in_pieces_is_taken() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            data = request("pay", body=BIG[:-1], Expect="100-continue")
+            head = data.index(b"\r\n\r\n") + 4
+            writer.write(data[:head])
+            assert b" 100 " in await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+            writer.write(data[head:])
+            assert (await read_answer(reader))[0] == 200
+            assert w.sent()[0][2] == BIG[:-1]
+            writer.close()
+
+    play(scene())
+
+
+def test_no_server_means_a_refusal_at_once_and_readiness_tells_of_the_process_alone() -> None:
+    async def scene() -> None:
+        async with world() as w:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            assert (await w.ask(budget="30"))[0] == 503
+            assert loop.time() - began < 15.0
+            assert (await ask(w.sidecar.frontend.address, request(path="/health/ready")))[0] == 200
+
+    play(scene())
+
+
+def test_a_refusal_says_when_to_come_back() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            w.sidecar._balancer.handle = lambda now, event: (  # type: ignore[method-assign]
+                [Refuse(event.request, 250_000)] if isinstance(event, RequestArrived) else []
+            )
+            status, headers, _ = await w.ask()
+            assert status == 503 and float(headers["retry-after"]) == 0.25
+
+    play(scene())
+
+
+# Guards against a defect that would kill the process or leave its request without an answer.
+def test_a_defect_fails_its_request_and_nothing_else(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            real = w.sidecar._balancer.handle
+
+            def faulty(now: int, event: Event) -> list[Action]:
+                if isinstance(event, RequestArrived) and event.service_class == "pay":
+                    raise ZeroDivisionError
+                return real(now, event)
+
+            monkeypatch.setattr(w.sidecar._balancer, "handle", faulty)
+            assert (await w.ask(kind="pay", body=b"x"))[0] == 500
+            assert (await w.ask())[0] == 200
+            assert not w.sidecar._live
+
+    play(scene())
+
+
+def test_a_defect_in_carrying_out_fails_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            monkeypatch.setattr(w.sidecar._upstream, "send", None)
+            assert (await w.ask(kind="pay", body=b"x"))[0] == 500
+            monkeypatch.undo()
+            assert (await w.ask())[0] == 200
+            assert not w.sidecar._live
+
+    play(scene())
+
+
+def test_a_module_that_forgets_a_request_leaves_it_no_longer_than_its_time() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            w.sidecar._balancer.handle = lambda now, event: []  # type: ignore[method-assign]
+            assert (await w.ask(budget="0.2"))[0] == 500
+
+    play(scene())
+
+
+def test_every_action_that_the_module_knows_is_carried_out() -> None:
+    async def scene() -> None:
+        async with world() as w:
+            emitted = {kind for kind in get_args(Action) if kind.__name__ in vars(balancer)}
+            assert len(emitted) > 5 and emitted <= set(w.sidecar._carry)
+
+    play(scene())
+
+
+def test_clients_beyond_the_bound_take_the_place_of_those_at_rest() -> None:
+    # Guards the descriptors: 66 sockets leave one for clients.
+    async def scene() -> None:
+        async with world(served, sockets=66) as w:
+            first, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request())
+            assert (await read_answer(first))[0] == 200
+            for _ in range(3):
+                assert (await w.ask())[0] == 200
+            assert await is_closed(first)
+            writer.close()
+
+    play(scene())
+
+
+def test_a_lack_of_descriptors_neither_spins_nor_ends_the_listening() -> None:
+    class Lacking:
+        """A listener of which the first accepts fail."""
+
+        def __init__(self, real: socket.socket) -> None:
+            self.real, self.failures = real, 3
+
+        def accept(self) -> object:
+            if self.failures:
+                self.failures -= 1
+                raise OSError(errno.EMFILE, "Too many open files")
+            return self.real.accept()
+
+        def fileno(self) -> int:
+            return self.real.fileno()
+
+    async def scene() -> None:
+        hooks = Hooks(lambda call: call.answer(200, [], b"taken"), lambda call: None, lambda: True)
+        frontend = Frontend(("127.0.0.1", 0), 5, hooks)
+        real = frontend._sock
+        frontend._sock = Lacking(real)  # type: ignore[assignment]
+        frontend.start()
+        assert (await ask(frontend.address, request()))[2] == b"taken"
+        frontend._sock = real
+        frontend.stop()
+        await until(frontend.is_empty)
+
+    play(scene())
+
+
+def test_a_connection_with_an_unread_request_is_not_at_rest() -> None:
+    # Guards against closing a connection under a request that was taken by the kernel, not yet by us.
+    async def scene() -> None:
+        async with world(served) as w:
+            _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            await until(lambda: w.sidecar.frontend.connections)
+            connection: ClientConnection = next(iter(w.sidecar.frontend.connections))
+            assert connection.is_idle()
+            peer = writer.get_extra_info("socket")
+            peer_fd = socket.socket(fileno=socket.dup(peer.fileno()))
+            peer_fd.send(request())  # within one step of the event loop
+            assert not connection.is_idle()
+            peer_fd.close()
+            writer.close()
+
+    play(scene())
--- /dev/null
+++ b/tests/test_life.py
@@ -0,0 +1,169 @@
+"""The program as the platform starts and stops it, in a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import (
+    PATIENCE_S,
+    FakeDiscovery,
+    FakeServer,
+    answer,
+    ask,
+    is_closed,
+    play,
+    read_answer,
+    request,
+    until,
+)
+
+from topazbank.net.upstream import Address
+
+ROOT = Path(__file__).parent.parent
+SETTINGS: dict[str, Any] = {
+    "lanes": [
+        {"name": "look", "giveUpUs": 2_000_000, "repeat": "read_like"},
+        {"name": "pay", "giveUpUs": 3_000_000, "repeat": "non_idempotent"},
+    ],
+    "bounds": {"sendCap": 3, "mayCancel": True},
+    "discovery": "on_request",
+    "zone": "east",
+}
+
+
+def config(**changes: Any) -> dict[str, Any]:
+    known = {"index": 1, "snapshot": True, "endpoints": []}
+    given = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "8c1f"}
+    return given | {"known": known, "settings": SETTINGS} | changes
+
+
+async def launch(path: Path, given: object) -> asyncio.subprocess.Process:
+    path.write_text(given if isinstance(given, str) else json.dumps(given), encoding="utf-8")
+    environ = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "topazbank",
+        cwd=ROOT,
+        env=environ | {"RELAY_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+@pytest.mark.parametrize(
+    "given",
+    [
+        "not json",
+        "[]",
+        config(listen="nowhere"),
+        config(listen=None),
+        config(discovery=7),
+        config(seed="xyz"),
+        config(known={"index": "x"}),
+        config(settings=None),
+        config(settings={"lanes": []}),
+        config(limits={"sockets": "many"}),
+    ],
+)
+def test_a_bad_configuration_ends_the_start_with_one_line(given: object, tmp_path: Path) -> None:
+    async def scene() -> None:
+        process = await launch(tmp_path / "config.json", given)
+        _, err = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+        assert process.returncode == 2
+        assert len(err.decode().strip().splitlines()) == 1 and err.startswith(b"bad configuration: ")
+
+    play(scene())
+
+
+@contextlib.asynccontextmanager
+async def program(tmp_path: Path, server: FakeServer) -> AsyncIterator[tuple[Any, Address]]:
+    """The program, ready, with one server behind it."""
+    discovery = FakeDiscovery()
+    await discovery.start()
+    await server.start()
+    known = {"index": 1, "snapshot": True, "endpoints": [server.entry()]}
+    where = "{}:{}".format(*discovery.address)
+    # Port 0 is no address to be told, so a free one is picked and given back just before.
+    free = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    listen: Address = free.sockets[0].getsockname()[:2]
+    free.close()
+    process = await launch(
+        tmp_path / "config.json", config(listen="{}:{}".format(*listen), discovery=where, known=known)
+    )
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                with contextlib.suppress(OSError):
+                    if (await ask(listen, request(path="/health/ready")))[0] == 200:
+                        break
+                await asyncio.sleep(0.02)
+        yield process, listen
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.communicate()
+        server.stop()
+        discovery.stop()
+
+
+def test_on_sigterm_all_that_is_held_is_answered_and_new_connections_are_still_served(
+    tmp_path: Path,
+) -> None:
+    async def scene() -> None:
+        held: list[asyncio.StreamWriter] = []
+        server = FakeServer("s-0", lambda first, *_: None if "held" in first else answer(200, b"served"))
+        async with program(tmp_path, server) as (process, listen):
+            resting, resting_writer = await asyncio.open_connection(*listen)
+            resting_writer.write(request())
+            status, headers, _ = await read_answer(resting)
+            assert status == 200 and "connection" not in headers
+            reader, writer = await asyncio.open_connection(*listen)
+            writer.write(request("pay", path="/api/held", body=b"x"))
+            await until(lambda: len(server.requests) == 2)
+            held += server.writers[-1:]
+
+            process.send_signal(signal.SIGTERM)
+            # What is at rest is closed while a request that crosses it can still come again.
+            assert await is_closed(resting)
+            status, headers, _ = await ask(listen, request(path="/health/ready"))
+            assert status == 503
+            late, late_writer = await asyncio.open_connection(*listen)
+            late_writer.write(request())
+            status, headers, body = await read_answer(late)
+            assert (status, headers["connection"], body) == (200, "close", b"served")
+            assert await is_closed(late)
+
+            for each in server.writers:
+                if not each.is_closing():
+                    each.write(answer(200, b"held"))
+            status, headers, body = await read_answer(reader)
+            assert (status, headers["connection"], body) == (200, "close", b"held")
+            assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
+            for each in (resting_writer, late_writer, writer):
+                each.close()
+
+    play(scene())
+
+
+def test_after_sigterm_a_request_that_never_ends_is_failed_in_time(tmp_path: Path) -> None:
+    async def scene() -> None:
+        server = FakeServer("s-0", lambda *_: None)
+        async with program(tmp_path, server) as (process, listen):
+            reader, writer = await asyncio.open_connection(*listen)
+            writer.write(request("pay", body=b"x", budget="500"))
+            await until(lambda: server.requests)
+            process.send_signal(signal.SIGTERM)
+            assert (await read_answer(reader))[0] == 500
+            assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
+            writer.close()
+
+    play(scene())
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -81,6 +81,10 @@
     )
 
 
+def _is_keyed(head: h11.Request) -> bool:
+    return any(name == b"idempotency-key" and value.strip() for name, value in head.headers)
+
+
 def _number(text: str, name: str) -> float:
     try:
         value = float(text)
@@ -198,7 +202,10 @@
         elif path != _API_PATH and not path.startswith(_API_PATH + b"/"):
             raise BadRequest(404, "no such path")
         else:
-            self._call = call = parse_call(head, body, self._answer)
+            call = parse_call(head, body, self._answer)
+            if call.service_class in self._frontend.keyed and not _is_keyed(head):
+                raise BadRequest(400, "idempotency-key is missing")  # servers could not drop its repeats
+            self._call = call
             self._frontend.hooks.taken(call)
 
     def _reject(self, bad: BadRequest) -> None:
@@ -247,8 +254,11 @@
 class Frontend:
     """Listens for the application, within a bound on its connections."""
 
-    def __init__(self, address: Address, most: int, hooks: Hooks) -> None:
+    def __init__(
+        self, address: Address, most: int, hooks: Hooks, keyed: frozenset[str] = frozenset()
+    ) -> None:
         self.hooks = hooks
+        self.keyed = keyed  # classes whose requests carry a key
         self.draining = False
         self.connections: dict[ClientConnection, None] = {}  # the longest at rest first
         self._most = most
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -34,6 +34,7 @@
     Probe,
     ProbeEnded,
     Refuse,
+    Repeat,
     ReportSource,
     RequestArrived,
     RequestGone,
@@ -82,8 +83,8 @@
     call: Call
     answer_by: int
     answered: bool = False
-    attempts: list[Exchange | None] = field(default_factory=list)
-    out: int = 0
+    sent: int = 0  # attempts so far
+    out: dict[int, Exchange | None] = field(default_factory=dict)  # those that have not ended, by number
     backstop: asyncio.TimerHandle | None = None
 
 
@@ -116,7 +117,8 @@
         self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
         self._known = config.known
         self._discovery = Discovery(config.discovery, config.known.version, self._told)
-        self.frontend = Frontend(config.listen, half, Hooks(self._taken, self._gone, self._is_ready))
+        keyed = frozenset(each.name for each in settings.classes if each.repeat is Repeat.KEYED)
+        self.frontend = Frontend(config.listen, half, Hooks(self._taken, self._gone, self._is_ready), keyed)
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
             Refuse: self._refuse,
@@ -209,7 +211,7 @@
         live = self._live.get(ident) if ident is not None else None
         if live is not None:
             self._answer(live, 500, [], b"")
-            for attempt in live.attempts:
+            for attempt in list(live.out.values()):
                 if attempt is not None:
                     self._upstream.cancel(attempt)
 
@@ -272,35 +274,33 @@
 
     def _send(self, action: Send) -> None:
         live = self._live.get(action.request)
+        index = live.sent if live is not None else 0
         if live is None or live.answered:
-            ended = AttemptEnded(action.request, self._unsent(live), action.server, Outcome.UNSENT, 0, True)
-            self.handle(ended)
+            if live is not None:
+                live.sent += 1
+            self.handle(AttemptEnded(action.request, index, action.server, Outcome.UNSENT, 0, True))
             return
-        index = len(live.attempts)
-        live.attempts.append(None)
-        live.out += 1
-        until = min(action.until or live.answer_by, live.answer_by)
-        ended_ = partial(self._attempt_ended, live, index, action.server, self._clock.now())
+        live.sent += 1
+        live.out[index] = None
+        until = self._clock.on_loop(min(action.until or live.answer_by, live.answer_by))
+        ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
         order = upstream.Order(partial(_head, live.call), live.call.body)
-        exchange = self._upstream.send(action.server, order, self._clock.on_loop(until), ended_)
-        if exchange.ended is not None:
-            live.attempts[index] = exchange
-
-    @staticmethod
-    def _unsent(live: Live | None) -> int:
-        """The number of an attempt that is not made, since its request is over."""
-        if live is None:
-            return 0
-        live.attempts.append(None)
-        return len(live.attempts) - 1
+        try:
+            exchange = self._upstream.send(action.server, order, until, ended)
+        except Exception:
+            ended(Outcome.DROPPED, None)  # a defect; nobody knows how far it went
+            raise
+        if index in live.out:
+            live.out[index] = exchange
 
     def _attempt_ended(
         self, live: Live, index: int, server: str, sent_at: int, outcome: Outcome, response: Response | None
     ) -> None:
-        live.attempts[index] = None
-        live.out -= 1
+        if index not in live.out:
+            return
+        del live.out[index]
         if outcome is Outcome.DELIVERED and response is not None:
-            passed_on = end_to_end(response.headers, b"content-length", b"date")
+            passed_on = end_to_end(response.headers, b"content-length", b"x-load-report")
             self._answer(live, 200, passed_on, response.body)
         elapsed = self._clock.now() - sent_at
         report = self._report(response)
@@ -314,7 +314,7 @@
 
     def _cancel(self, action: Cancel) -> None:
         live = self._live.get(action.request)
-        attempt = live.attempts[action.attempt] if live is not None else None
+        attempt = live.out.get(action.attempt) if live is not None else None
         if attempt is not None:
             self._upstream.cancel(attempt)
 
