Guard edges of drains, rejections, discovery and defects

Seen by reading the code against the protocol, each then shown by a test that fails without the mend: a drain closed connections just opened for a request still on its way; a 413 could be reset away by closing on unread bytes; a leaving server listed without an address was skipped and so kept in use; a service that answers watches at once was called without a pause; a defect in taking a request broke its connection. A watch now waits 8 s, so that a silent discovery is noticed before its news counts as told.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -171,3 +171,27 @@
 def test_a_status_that_is_not_known_takes_nothing_new(status: str, state: ServerState) -> None:
     told = parse_list({"index": 5, "snapshot": False, "endpoints": [entry(status=status)]})
     assert told.lines[0].server.state is state
+
+
+@pytest.mark.parametrize("status", ["leaving", "left"])
+def test_a_server_that_leaves_is_told_of_even_without_its_address(status: str) -> None:
+    # Guards rule 3: skipped as junk, the entry would leave the server in use.
+    async def scene() -> None:
+        async with world(served) as w:
+            w.discovery.say(42, [w.servers[0].entry(status=status, address=None)])
+            await until(lambda: w.sidecar._balancer._servers["s-0"].state is not ServerState.READY)
+            assert (await w.ask())[0] == 503
+            assert not w.sent()
+
+    play(scene())
+
+
+def test_a_service_that_does_not_wait_is_not_called_without_a_pause() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            for _ in range(4):
+                w.discovery.say(41, [])
+            await until(lambda: len(w.discovery.called_after_s) == 4)
+            assert min(w.discovery.called_after_s) >= 0.09
+
+    play(scene())
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import socket
 from typing import get_args
@@ -243,3 +244,38 @@
             writer.close()
 
     play(scene())
+
+
+def test_a_rejection_arrives_though_the_body_is_still_being_sent() -> None:
+    # Guards against closing on unread bytes, which resets the connection and the answer with it.
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request("pay", body=BIG * 64)[:-1])
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
+            assert (await read_answer(reader))[0] == 413
+            assert await is_closed(reader)
+            writer.close()
+
+    play(scene())
+
+
+def test_a_defect_in_taking_a_request_fails_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            monkeypatch.setattr(w.sidecar.frontend.hooks, "taken", None)
+            assert (await w.ask())[0] == 500
+            monkeypatch.undo()
+            assert (await w.ask())[0] == 200
+
+    play(scene())
+
+
+def test_a_client_of_the_old_protocol_without_a_host_is_served() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            data = request(Host=None).replace(b"HTTP/1.1", b"HTTP/1.0")
+            assert (await ask(w.sidecar.frontend.address, data))[0] == 200
+
+    play(scene())
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -119,7 +119,6 @@
     tmp_path: Path,
 ) -> None:
     async def scene() -> None:
-        held: list[asyncio.StreamWriter] = []
         server = FakeServer("s-0", lambda first, *_: None if "held" in first else answer(200, b"served"))
         async with program(tmp_path, server) as (process, listen):
             resting, resting_writer = await asyncio.open_connection(*listen)
@@ -129,13 +128,19 @@
             reader, writer = await asyncio.open_connection(*listen)
             writer.write(request("pay", path="/api/held", body=b"x"))
             await until(lambda: len(server.requests) == 2)
-            held += server.writers[-1:]
 
+            opened, opened_writer = await asyncio.open_connection(*listen)
+            assert (await ask(listen, request()))[0] == 200  # so that the one before it was accepted too
             process.send_signal(signal.SIGTERM)
             # What is at rest is closed while a request that crosses it can still come again.
             assert await is_closed(resting)
             status, headers, _ = await ask(listen, request(path="/health/ready"))
             assert status == 503
+            # What was just opened still gets its request served.
+            opened_writer.write(request())
+            status, headers, _ = await read_answer(opened)
+            assert (status, headers["connection"]) == (200, "close")
+            opened_writer.close()
             late, late_writer = await asyncio.open_connection(*listen)
             late_writer.write(request())
             status, headers, body = await read_answer(late)
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -65,7 +65,8 @@
 
 async def serve(config: Config) -> None:
     stop = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    for each in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(each, stop.set)
     await Sidecar(config).run(stop)
 
 
@@ -77,7 +78,11 @@
         print(f"bad configuration: {bad}".replace("\n", " "), file=sys.stderr)
         return 2
     gc.freeze()  # what is loaded by now stays; collections look at requests alone
-    asyncio.run(serve(config))
+    try:
+        asyncio.run(serve(config))
+    except OSError as fault:
+        print(f"can't serve: {fault}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -18,8 +18,10 @@
 log = logging.getLogger(__name__)
 
 _PATH = "/registry/instances"
-_WAIT_MS = 20_000  # how long a watch may wait
-_CALL_S = 5.0  # and what a call may take beyond that
+_WAIT_MS = 8_000  # how long a watch may wait: a service that fell silent is noticed after it
+_LATE_S = 1.5  # and what it may take beyond that: its news counts as told 2 s after the wait
+_CALL_S = 5.0  # what a call that does not wait may take
+_IDLE_S = 0.1  # between watches that come back at once with nothing, well within the 200 ms of one watch
 _LIST_MOST = 8 * 1024 * 1024
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
@@ -29,7 +31,7 @@
     """A line of the list, with the address that the server has for this sidecar."""
 
     server: ListedServer
-    address: Address
+    address: Address | None
 
 
 @dataclass(slots=True)
@@ -70,7 +72,17 @@
     state = _STATES.get(entry["status"], ServerState.DRAINING)
     started_at = since_ms * 1000 or None
     server = ListedServer(name, zone, kind, group, state, float(weight), started_at)
-    return Listed(server, parse_address(entry["address"]))
+    return Listed(server, _place(entry.get("address"), state))
+
+
+def _place(value: object, state: ServerState) -> Address | None:
+    """Where the server listens; one that takes nothing new needs no address, and its leaving must be told."""
+    try:
+        return parse_address(str(value))
+    except ValueError:
+        if state is ServerState.READY:
+            raise
+        return None
 
 
 class Discovery:
@@ -103,10 +115,14 @@
 
     async def _keep_watch(self) -> None:
         """Call again as soon as a call is answered: later than 200 ms it would be a new watch."""
-        watching = True
-        while watching:
-            target = f"{_PATH}?after={self._version}&wait_ms={_WAIT_MS}"
-            watching = await self._ask(target, _WAIT_MS / 1000 + _CALL_S)
+        loop = asyncio.get_running_loop()
+        while True:
+            began, version = loop.time(), self._version
+            target = f"{_PATH}?after={version}&wait_ms={_WAIT_MS}"
+            if not await self._ask(target, _WAIT_MS / 1000 + _LATE_S):
+                return
+            if self._version == version and loop.time() < began + _IDLE_S:
+                await asyncio.sleep(_IDLE_S)  # guards against spinning on a service that does not wait
 
     async def _ask(self, target: str, limit_s: float) -> bool:
         told: Told | None = None
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -21,6 +21,7 @@
 _API_PATH = b"/api"
 _BACKLOG = 512
 _ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
+_LINGER_S = 1.0  # how long an ended connection is read on, so that its answer arrives
 _REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed"}
 
 
@@ -118,6 +119,8 @@
         self._body = bytearray()
         self._call: Call | None = None
         self._stuck = False  # the last answer is not all written yet
+        self._lingering = False  # what still comes is dropped: its framing is lost
+        self.used = False  # whether it has carried a request
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -133,6 +136,8 @@
         return False  # a client that closes has gone away
 
     def data_received(self, data: bytes) -> None:
+        if self._lingering:
+            return
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as bad:
@@ -169,6 +174,10 @@
             self._reject(bad)
         except h11.RemoteProtocolError as bad:
             self._reject(BadRequest(400, str(bad)))
+        except Exception:
+            log.exception("a request could not be handled")  # a defect: its request fails, no other
+            if self._transport is not None:
+                self._reject(BadRequest(500, "internal error"))
 
     def _next_event(self) -> bool:
         event = self._h11.next_event()
@@ -196,6 +205,7 @@
         """A request has come whole."""
         head, body = self._head, bytes(self._body)
         assert head is not None
+        self.used = True
         path = head.target.partition(b"?")[0]
         if path == _READY_PATH:
             self._answer(200 if self._frontend.hooks.ready() else 503, [], b"")
@@ -230,11 +240,20 @@
             events.insert(1, h11.Data(data=body))
         self._head, self._body = None, bytearray()
         self._transport.write(b"".join(self._h11.send(each) or b"" for each in events))
-        if self._h11.our_state is not h11.DONE or not whole:
+        if not whole:
+            self._linger()
+        elif self._h11.our_state is not h11.DONE:
             self.close()
         elif not self._stuck:
             asyncio.get_running_loop().call_soon(self._next_request)
 
+    def _linger(self) -> None:
+        """End our side and drop what still comes: closing on unread bytes would reset the answer away."""
+        if self._transport is not None:
+            self._lingering = True
+            self._transport.write_eof()
+            asyncio.get_running_loop().call_later(_LINGER_S, self.close)
+
     def _next_request(self) -> None:
         """Turn to what came behind the answered request."""
         if self._transport is None or self._transport.is_closing() or self._call is not None or self._stuck:
@@ -309,12 +328,13 @@
             await loop.connect_accepted_socket(lambda: ClientConnection(self, sock), sock)
 
     def _make_room(self) -> bool:
-        for connection in list(self.connections):
-            if connection.is_idle():
-                connection.close()
-                del self.connections[connection]
-                return True
-        return False
+        """Close a connection at rest, one that has carried a request first: a new one is opened for one."""
+        at_rest = [each for each in self.connections if each.is_idle()]
+        chosen = next((each for each in at_rest if each.used), at_rest[0] if at_rest else None)
+        if chosen is not None:
+            chosen.close()
+            del self.connections[chosen]
+        return chosen is not None
 
     def rested(self, connection: ClientConnection) -> None:
         """A connection has begun to rest, or to wait for its next request."""
@@ -327,11 +347,12 @@
     def drain(self) -> None:
         """Close what is at rest while new connections are still taken: a request that crosses comes again."""
         self.draining = True
-        self.close_idle()
+        self.close_idle(used=True)
 
-    def close_idle(self) -> None:
+    def close_idle(self, used: bool) -> None:
+        """Close what is at rest; with `used`, not what was just opened for a request still on its way."""
         for connection in list(self.connections):
-            if connection.is_idle():
+            if connection.is_idle() and (connection.used or not used):
                 connection.close()
 
     def stop(self) -> None:
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -48,16 +48,18 @@
 from topazbank.net import upstream
 from topazbank.net.discovery import Discovery, Told
 from topazbank.net.frontend import Call, Frontend, Hooks
-from topazbank.net.upstream import Address, Exchange, Headers, Response, end_to_end
+from topazbank.net.upstream import Address, Exchange, Headers, Response
 
 log = logging.getLogger(__name__)
 
 _ACCEPT_S = 0.5  # after SIGTERM, how long connections are still taken: they come for 0.4 s
 _LINGER_S = 0.65  # and how much longer than the longest deadline all may last
 _DEADLINE_MOST_S = 3.0  # the platform waits for no longer deadline than this
+_DRAIN_STEP_S = 0.02  # how often a drain looks at what is left
 _LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
 _LAG_TOLD_S = 0.05  # and from when on it is logged
 _PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
+_ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
 _FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
 
 
@@ -155,13 +157,12 @@
         longest = max(each.deadline_us for each in self._settings.classes) / 1e6
         last = began + min(longest, _DEADLINE_MOST_S) + _LINGER_S
         while loop.time() < began + _ACCEPT_S:
-            await asyncio.sleep(0.02)
-            self.frontend.close_idle()
+            await asyncio.sleep(_DRAIN_STEP_S)
+            self.frontend.close_idle(used=True)
         self.frontend.stop()
         while not self.frontend.is_empty() and loop.time() < last:
-            await asyncio.sleep(0.02)
-            if loop.time() > began + _LINGER_S:
-                self.frontend.close_idle()
+            await asyncio.sleep(_DRAIN_STEP_S)
+            self.frontend.close_idle(used=loop.time() < began + _LINGER_S)
         for live in list(self._by_call.values()):
             self._answer(live, 500, [], b"")
         log.info("drained")
@@ -300,8 +301,8 @@
             return
         del live.out[index]
         if outcome is Outcome.DELIVERED and response is not None:
-            passed_on = end_to_end(response.headers, b"content-length", b"x-load-report")
-            self._answer(live, 200, passed_on, response.body)
+            about_body = [each for each in response.headers if each[0] in _ABOUT_BODY]
+            self._answer(live, 200, about_body, response.body)
         elapsed = self._clock.now() - sent_at
         report = self._report(response)
         self._forget_if_over(live)
@@ -355,6 +356,8 @@
 def _head(call: Call, left_s: float) -> h11.Request:
     """The head of an attempt: the application's, with the time that is left for it."""
     headers = [*call.headers, (b"X-Budget", b"%.6f" % left_s)]
+    if not any(name == b"host" for name, _ in headers):
+        headers.append((b"Host", b"sidecar"))  # HTTP/1.0 allows none, HTTP/1.1 needs one
     if call.body or call.method not in (b"GET", b"HEAD"):
         headers.append((b"Content-Length", str(len(call.body)).encode()))
     return h11.Request(method=call.method, target=call.target, headers=headers)
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -24,6 +24,7 @@
 Address = tuple[str, int]
 Headers = list[tuple[bytes, bytes]]
 
+_NOWHERE: Address = ("127.0.0.1", 0)  # of a server that takes nothing new anyway
 BODY_MOST = 64 * 1024  # of an attempt's answer, as the protocol has it
 _IDLE_MARGIN = 0.1  # an idle connection is closed this part of its time before the server would
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
@@ -268,12 +269,13 @@
         self._open = 0  # connections, and dials under way
         self._endpoints: dict[str, Endpoint] = {}
 
-    def update(self, name: str, address: Address, started_at: int | None, state: ServerState) -> None:
+    def update(self, name: str, address: Address | None, started_at: int | None, state: ServerState) -> None:
         """Note what the list says of a server; a new process or place makes its old connections useless."""
         known = self._endpoints.get(name)
         if known is None:
-            self._endpoints[name] = Endpoint(name, address, started_at, state)
+            self._endpoints[name] = Endpoint(name, address or _NOWHERE, started_at, state)
             return
+        address = address or known.address
         if (known.address, known.started_at) != (address, started_at):
             known.address, known.started_at = address, started_at
             known.generation += 1
@@ -397,8 +399,12 @@
         exchange.connection = connection
         exchange.endpoint.dialling.discard(exchange)
         left = exchange.until - asyncio.get_running_loop().time()
-        head = exchange.order.head(max(left, 0.0))
-        connection.request(head, exchange.order.body, partial(self._answered, exchange, connection))
+        try:
+            head = exchange.order.head(max(left, 0.0))
+            connection.request(head, exchange.order.body, partial(self._answered, exchange, connection))
+        except h11.LocalProtocolError:
+            log.exception("a request can't be written")  # not a byte of it was
+            exchange.end(Outcome.DIAL_FAILED)
 
     def _answered(self, exchange: Exchange, connection: Connection, response: Response | None) -> None:
         self._put_back(exchange, connection)
