Send nothing for a request that is over; bound the log

Seen by reading: where attempts may not be cancelled, a dial that came up after the final answer still wrote its request. Such an attempt now ends as UNSENT; the new test hangs without that. A flood of junk from outside could fill the log: it is cut to 50 lines a second.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -411,3 +411,19 @@
     while not head_bytes.endswith(b"\r\n\r\n"):
         head_bytes += await asyncio.wait_for(reader.readexactly(1), PATIENCE_S)
     return len(await asyncio.wait_for(reader.readexactly(60_000), PATIENCE_S))
+
+
+def test_nothing_is_sent_for_a_request_that_is_over_even_where_nothing_may_be_cancelled() -> None:
+    # Guards rule 1: a dial that came up after the final answer would still write the request.
+    async def scene() -> None:
+        limits = {"max_attempts": 3, "may_cancel": False, "dial_timeout_us": 600 * S}
+        with deaf() as address:
+            async with world(served, limits=limits) as w:
+                w.sidecar._upstream.update("s-0", address, None, ServerState.READY)
+                _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+                writer.write(request("pay", body=b"x", budget="600"))
+                await until(lambda: w.sidecar._upstream._open == 1)
+                writer.close()
+                await until(lambda: not w.sidecar._live and not w.sidecar._upstream._open)
+
+    play(scene())
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 import os
 import signal
 import sys
@@ -26,6 +27,7 @@
     until,
 )
 
+from topazbank.__main__ import Flood
 from topazbank.net.upstream import Address
 
 ROOT = Path(__file__).parent.parent
@@ -84,6 +86,12 @@
     play(scene())
 
 
+def test_a_flood_of_log_lines_is_cut() -> None:
+    flood = Flood(3)
+    lines = [logging.makeLogRecord({"created": at}) for at in (7.0, 7.1, 7.2, 7.3, 7.9, 8.0)]
+    assert [flood.filter(each) for each in lines] == [True, True, True, False, False, True]
+
+
 @contextlib.asynccontextmanager
 async def program(tmp_path: Path, server: FakeServer) -> AsyncIterator[tuple[Any, Address]]:
     """The program, ready, with one server behind it."""
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -22,6 +22,7 @@
 from topazbank.wirehost import settings_from_wire
 
 _SOCKETS = 1024  # unless the configuration tells
+_LOG_LINES = 50  # a second at most
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
@@ -63,6 +64,29 @@
     return value
 
 
+class Flood(logging.Filter):
+    """Lets through so many lines a second: guards against junk from outside that would fill the log."""
+
+    def __init__(self, most: int) -> None:
+        super().__init__()
+        self._most = most
+        self._second = 0
+        self._lines = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if int(record.created) != self._second:
+            self._second, self._lines = int(record.created), 0
+        self._lines += 1
+        return self._lines <= self._most
+
+
+def start_log() -> None:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(logging.Formatter("%(asctime)s %(name)s %(message)s"))
+    handler.addFilter(Flood(_LOG_LINES))
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
+
+
 async def serve(config: Config) -> None:
     stop = asyncio.Event()
     for each in (signal.SIGTERM, signal.SIGINT):
@@ -71,7 +95,7 @@
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(name)s %(message)s", stream=sys.stderr)
+    start_log()
     try:
         config = read_config(os.environ)
     except (OSError, ValueError, RecursionError) as bad:
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -252,6 +252,9 @@
         self._by_call.pop(live.call, None)
         if live.backstop is not None:
             live.backstop.cancel()
+        for attempt in list(live.out.values()):
+            if attempt is not None:
+                self._upstream.unsend(attempt)  # nothing is sent for a request that is over
         self._forget_if_over(live)
 
     def _forget_if_over(self, live: Live) -> None:
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -240,7 +240,7 @@
         for timer in self.timers:
             timer.cancel()
         self.endpoint.dialling.discard(self)
-        if outcome in (Outcome.EXPIRED, Outcome.CANCELLED, Outcome.DIAL_FAILED):
+        if outcome in (Outcome.EXPIRED, Outcome.CANCELLED, Outcome.DIAL_FAILED, Outcome.UNSENT):
             if self.connection is not None:
                 self.connection.abort()  # this is how an attempt is given up
             if self.dial is not None:
@@ -331,6 +331,11 @@
     def cancel(self, exchange: Exchange) -> None:
         exchange.end(Outcome.CANCELLED)
 
+    def unsend(self, exchange: Exchange) -> None:
+        """End an attempt that is not all written yet, so that it never will be."""
+        if exchange.connection is None or not exchange.connection.written:
+            exchange.end(Outcome.UNSENT)
+
     def close_idle(self, name: str) -> None:
         endpoint = self._endpoints.get(name)
         while endpoint is not None and endpoint.idle:
