Reread the configuration on SIGHUP and move discovery

Cause: no handler in __main__.serve, and Discovery held one address and one version for good. Now the watch and all fetches at the old address are dropped and the whole list is asked for at the new one at once, since versions of two services need not agree. In the file, discovery beats RELAY_DISCOVERY: the environment can't change. A bad file is one log line. Safe in a drain: a stopped Discovery begins no watch. Ruled out: a leak of the old watch (the old service hears one call, by the test).

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -142,6 +142,9 @@
             self._answered_at = loop.time()
         writer.close()
 
+    def called(self, times: int) -> bool:
+        return len(self.targets) >= times
+
     def say(self, index: int, entries: list[Any], snapshot: bool = False) -> None:
         told = {"index": index, "snapshot": snapshot, "endpoints": entries}
         self.answers.put_nowait(answer(200, json.dumps(told).encode()))
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 from collections.abc import AsyncIterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -95,9 +96,11 @@
 
 
 @contextlib.asynccontextmanager
-async def program(tmp_path: Path, server: FakeServer) -> AsyncIterator[tuple[Any, Address]]:
+async def program(
+    tmp_path: Path, server: FakeServer, discovery: FakeDiscovery | None = None
+) -> AsyncIterator[tuple[Any, Address]]:
     """The program, ready, with one server behind it."""
-    discovery = FakeDiscovery()
+    discovery = discovery or FakeDiscovery()
     await discovery.start()
     await server.start()
     known = {"index": 1, "snapshot": True, "endpoints": [server.entry()]}
@@ -195,3 +198,41 @@
             rested_writer.close()
 
     play(scene())
+
+
+def test_on_sighup_discovery_is_asked_at_its_new_place_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def scene() -> None:
+        old, first, second = FakeDiscovery(), FakeDiscovery(), FakeDiscovery()
+        await first.start()
+        await second.start()
+        server = FakeServer("s-0", lambda *_: answer(200, b"served"))
+        path = tmp_path / "config.json"
+
+        def replaced(discovery: FakeDiscovery) -> str:
+            return json.dumps(config(discovery="{}:{}".format(*discovery.address)))
+
+        async with program(tmp_path, server, old) as (process, listen):
+            await until(lambda: old.targets)
+            for junk in ("not json", json.dumps(config(discovery="nowhere"))):
+                path.write_text(junk, encoding="utf-8")
+                process.send_signal(signal.SIGHUP)
+                line = await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)
+                assert b"the configuration stays as it was" in line
+            for number, now in enumerate((first, second), start=1):
+                path.write_text(replaced(now), encoding="utf-8")
+                process.send_signal(signal.SIGHUP)
+                # The whole list is asked for: what was heard elsewhere may be behind, or ahead.
+                await until(partial(now.called, 1))
+                assert now.targets == ["/registry/instances"]
+                now.say(number, [server.entry()], snapshot=True)
+                await until(partial(now.called, 2))
+                assert now.targets[1].startswith(f"/registry/instances?after={number}&wait_ms=")
+            assert (await ask(listen, request()))[0] == 200
+            assert len(old.targets) == 1 and len(first.targets) == 2
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)
+            assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
+        first.stop()
+        second.stop()
+
+    play(scene())
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -1,7 +1,7 @@
 """Starts one sidecar: reads its configuration, serves, and drains on SIGTERM.
 
 Run as `python -m topazbank`, with RELAY_CONFIG naming the configuration.  A bad one ends the start with one
-line on standard error and exit code 2.
+line on standard error and exit code 2.  SIGHUP rereads it: discovery may have moved; all else stays.
 """
 
 from __future__ import annotations
@@ -21,6 +21,9 @@
 from topazbank.net.upstream import parse_address
 from topazbank.wirehost import settings_from_wire
 
+log = logging.getLogger(__name__)
+
+_BAD_CONFIG = (OSError, ValueError, RecursionError)
 _SOCKETS = 1024  # unless the configuration tells
 _LOG_LINES = 50  # a second at most
 
@@ -37,7 +40,7 @@
     known = given.get("known")
     return Config(
         listen=_address(environ.get("RELAY_LISTEN") or given.get("listen"), "listen"),
-        discovery=_address(environ.get("RELAY_DISCOVERY") or given.get("discovery"), "discovery"),
+        discovery=_address(given.get("discovery") or environ.get("RELAY_DISCOVERY"), "discovery"),
         seed=_seed(given.get("seed", "0")),
         sockets=_sockets(given.get("limits")),
         settings=settings_from_wire(given.get("settings")),
@@ -89,16 +92,30 @@
 
 async def serve(config: Config) -> None:
     stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(each, stop.set)
-    await Sidecar(config).run(stop)
+        loop.add_signal_handler(each, stop.set)
+    sidecar = Sidecar(config)
+    loop.add_signal_handler(signal.SIGHUP, reread, sidecar)
+    await sidecar.run(stop)
+
+
+def reread(sidecar: Sidecar) -> None:
+    """Turn to the configuration as it is now; a bad one changes nothing."""
+    try:
+        config = read_config(os.environ)
+    except _BAD_CONFIG as bad:
+        log.error("the configuration stays as it was: %s", str(bad).replace("\n", " "))
+    else:
+        sidecar.move_discovery(config.discovery)
 
 
 def main() -> int:
     start_log()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to move
     try:
         config = read_config(os.environ)
-    except (OSError, ValueError, RecursionError) as bad:
+    except _BAD_CONFIG as bad:
         print(f"bad configuration: {bad}".replace("\n", " "), file=sys.stderr)
         return 2
     gc.freeze()  # what is loaded by now stays; collections look at requests alone
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -90,16 +90,17 @@
 
     def __init__(self, address: Address, version: int, told: Callable[[Told | None], None]) -> None:
         self._address = address
-        self._version = version
+        self._version: int | None = version  # None: the whole list is needed, whatever was heard before
         self._told = told
+        self._stopped = False
         self._watch: asyncio.Task[None] | None = None
-        self._fetches: set[asyncio.Task[bool]] = set()
+        self._fetches: set[asyncio.Task[bool]] = set()  # as many as the balancer asks for, each for _CALL_S
 
     def follow(self, wanted: bool) -> None:
         """Begin a watch or end it; one that is under way goes on."""
         if not wanted:
-            self.stop()
-        elif self._watch is None or self._watch.done():
+            self._end_watch()
+        elif not self._stopped and (self._watch is None or self._watch.done()):
             self._watch = asyncio.get_running_loop().create_task(self._keep_watch())
 
     def fetch(self) -> None:
@@ -108,7 +109,19 @@
         self._fetches.add(task)
         task.add_done_callback(lambda done: self._fetches.discard(done))
 
+    def move(self, address: Address) -> None:
+        """Ask at another place from now on, and at once: what was heard at the old one may be behind."""
+        self._address, self._version = address, None
+        for fetch in self._fetches:
+            fetch.cancel()
+        self._end_watch()
+        self.follow(True)
+
     def stop(self) -> None:
+        self._stopped = True
+        self._end_watch()
+
+    def _end_watch(self) -> None:
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
@@ -118,8 +131,13 @@
         loop = asyncio.get_running_loop()
         while True:
             began, version = loop.time(), self._version
-            target = f"{_PATH}?after={version}&wait_ms={_WAIT_MS}"
-            if not await self._ask(target, _WAIT_MS / 1000 + _LATE_S):
+            if version is None:
+                heard = await self._ask(_PATH, _CALL_S)
+            else:
+                heard = await self._ask(
+                    f"{_PATH}?after={version}&wait_ms={_WAIT_MS}", _WAIT_MS / 1000 + _LATE_S
+                )
+            if not heard:
                 return
             if self._version == version and loop.time() < began + _IDLE_S:
                 await asyncio.sleep(_IDLE_S)  # guards against spinning on a service that does not wait
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -149,6 +149,11 @@
         self._discovery.stop()
         await self._upstream.close()
 
+    def move_discovery(self, address: Address) -> None:
+        """Go on with discovery at another address; also where it is the same, asked for by name."""
+        log.info("discovery is at %s:%d now", *address)
+        self._discovery.move(address)
+
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
