Turn away at the frontend what no server may hear of; limit every wait for a client

Cause: h11 reads a request with Content-Length and Transfer-Encoding as chunked, and ClientConnection._begin let it pass. By reading: classes, tenants and budgets that the settings don't know reached the module; an id still out could be sent twice; no head, body, silent connection or reader had a limit; _make_room looked at each connection. Now parse_call checks against the settings, a rejection ends its connection, each phase of a connection but that of a held request has a limit, and the phases are kept in order of time, so that room is found by looking at a few.

--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -5,13 +5,15 @@
 import asyncio
 import contextlib
 import logging
-import math
+import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, auto
 
 import h11
 
+from topazbank.interface import Repeat, Settings
 from topazbank.net.upstream import Address, Headers, end_to_end, is_quiet
 
 log = logging.getLogger(__name__)
@@ -20,9 +22,28 @@
 _READY_PATH = b"/health/ready"
 _API_PATH = b"/api"
 _BACKLOG = 512
+_ACCEPTED_AT_ONCE = 16  # connections, before others are looked at again
 _ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
-_LINGER_S = 1.0  # how long an ended connection is read on, so that its answer arrives
+_SWEEP_S = 0.1  # how often connections are looked at for their limits
+_YOUNG_S = 0.1  # a connection this new may have its request on the way: others make room first
+_TRIED_FOR_ROOM = 4  # connections that are looked at for one that can make room
+_DROPPED_MOST = 4 * BODY_MOST  # read and dropped of what comes after a rejection, so that its answer arrives
+_IDENT_MOST = 256  # characters
+_OVER_DEADLINE = 1.1  # a budget may exceed its class's deadline by rounding, no more
 _REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed"}
+_SINGLE = frozenset(  # headers that mean one thing: given twice, they may mean another to a server
+    (
+        b"x-call-id",
+        b"x-call-class",
+        b"x-caller",
+        b"x-budget",
+        b"x-again",
+        b"x-call-cost",
+        b"idempotency-key",
+    )
+)
+_FRAMING = (b"content-length", b"transfer-encoding")
+_NUMBER = re.compile(r"[0-9]{1,10}(\.[0-9]{1,9})?", re.ASCII)
 
 
 class BadRequest(Exception):
@@ -57,16 +78,38 @@
 
     taken: Callable[[Call], None]
     gone: Callable[[Call], None]
+    is_out: Callable[[str], bool]  # whether a request with this id is unanswered, or an attempt of it out
     ready: Callable[[], bool]
 
 
-def parse_call(head: h11.Request, body: bytes, answer: Callable[[int, Headers, bytes], None]) -> Call:
-    """Read a request of the application; raise BadRequest where a header is missing or makes no sense."""
-    given = {name: value.decode("latin-1").strip() for name, value in head.headers}
+class Phase(Enum):
+    """What a connection of the application is about; each phase but OPEN has a limit."""
+
+    WAITING = auto()  # it is new, or a request has begun to come
+    OPEN = auto()  # a request is held; the driver answers it in its time
+    BEHIND = auto()  # the same, and half a request waits behind it
+    RESTING = auto()  # it has carried requests, and nothing comes
+    LEAVING = auto()  # its last answer is still being taken
+
+
+_LIMITS_S = {Phase.WAITING: 2.0, Phase.BEHIND: 2.0, Phase.RESTING: 4.0, Phase.LEAVING: 1.0}
+
+
+def parse_call(
+    head: h11.Request, body: bytes, settings: Settings, answer: Callable[[int, Headers, bytes], None]
+) -> Call:
+    """Read a request of the application; raise BadRequest where it makes no sense or breaks the settings."""
+    given: dict[bytes, str] = {}
+    for name, value in head.headers:
+        if name in _SINGLE and name in given:
+            raise BadRequest(400, f"{name.decode()} stands twice")
+        given[name] = value.decode("latin-1").strip()
     for name in (b"x-call-id", b"x-call-class", b"x-budget"):
         if not given.get(name):
             raise BadRequest(400, f"{name.decode()} is missing")
-    return Call(
+    if len(given[b"x-call-id"]) > _IDENT_MOST:
+        raise BadRequest(400, "x-call-id is too long")
+    call = Call(
         method=head.method,
         target=head.target,
         headers=end_to_end(head.headers, b"content-length", b"x-budget", b"expect"),
@@ -80,20 +123,38 @@
         again=given.get(b"x-again") == "1",
         answer=answer,
     )
-
-
-def _is_keyed(head: h11.Request) -> bool:
-    return any(name == b"idempotency-key" and value.strip() for name, value in head.headers)
+    _check_class(call, bool(given.get(b"idempotency-key")), settings)
+    _check_tenant(call, settings)
+    return call
+
+
+def _check_class(call: Call, keyed: bool, settings: Settings) -> None:
+    """What a class says of its requests: how they come, and how long they may take."""
+    kind = next((each for each in settings.classes if each.name == call.service_class), None)
+    if kind is None:
+        raise BadRequest(400, "x-call-class is not known")
+    if call.method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
+        raise BadRequest(405, "not the method of the class")
+    if kind.repeat is Repeat.SAFE and call.body:
+        raise BadRequest(400, "a body belongs to no request that is safe to repeat")
+    if kind.repeat is Repeat.KEYED and not keyed:
+        raise BadRequest(400, "idempotency-key is missing")  # servers could not drop its repeats
+    if call.budget_us > _OVER_DEADLINE * kind.deadline_us:
+        raise BadRequest(400, "x-budget is longer than the deadline of the class")
+
+
+def _check_tenant(call: Call, settings: Settings) -> None:
+    """Where the settings name tenants only these may ask; else nothing is made of the name."""
+    if not settings.tenants:
+        call.tenant = None
+    elif call.tenant is not None and all(each.name != call.tenant for each in settings.tenants):
+        raise BadRequest(400, "x-caller is not known")
 
 
 def _number(text: str, name: str) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
-    if not 0.0 <= value <= 1e9:
+    if not _NUMBER.fullmatch(text):
         raise BadRequest(400, f"{name}: a number is needed")
-    return value
+    return float(text)
 
 
 def _key(target: bytes) -> int | None:
@@ -119,14 +180,16 @@
         self._body = bytearray()
         self._call: Call | None = None
         self._stuck = False  # the last answer is not all written yet
-        self._lingering = False  # what still comes is dropped: its framing is lost
-        self.used = False  # whether it has carried a request
+        self._dropped: int | None = (
+            None  # bytes that came after its end, which are not read; None: it goes on
+        )
+        self.phase = Phase.WAITING
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=0)
-        self._frontend.connections[self] = None
+        self._frontend.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._frontend.lost(self)
@@ -136,35 +199,66 @@
         return False  # a client that closes has gone away
 
     def data_received(self, data: bytes) -> None:
-        if self._lingering:
+        if self._dropped is not None:
+            self._drop(len(data))
             return
-        try:
-            self._h11.receive_data(data)
-        except h11.RemoteProtocolError as bad:
-            self._reject(BadRequest(400, str(bad)))
-            return
-        if self._call is None and not self._stuck:
+        self._h11.receive_data(data)
+        if self._call is not None:
+            self._look_ahead()
+        elif not self._stuck:
             self._read()
         elif len(self._h11.trailing_data[0]) > BODY_MOST and self._transport is not None:
-            self._transport.pause_reading()  # it sends ahead; what is held is bounded
+            self._transport.pause_reading()
 
     def pause_writing(self) -> None:
         self._stuck = True
 
     def resume_writing(self) -> None:
         self._stuck = False
-        if self._call is None:
+        if self._call is None and self._dropped is None:
             self._next_request()
 
+    def is_quiet(self) -> bool:
+        """Whether nothing has come that is not read yet."""
+        return is_quiet(self._sock)
+
     def is_idle(self) -> bool:
         """Whether it may be closed: no request is held, begun or waiting unread."""
-        held = self._call is not None or self._head is not None or self._stuck or self._h11.trailing_data[0]
-        return not held and is_quiet(self._sock)
+        begun = self._head is not None or self._h11.trailing_data[0]
+        return self.phase in (Phase.WAITING, Phase.RESTING) and not begun and self.is_quiet()
 
     def close(self) -> None:
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def time_up(self) -> None:
+        """Its phase has lasted for as long as it may."""
+        if self.phase in (Phase.BEHIND, Phase.LEAVING):
+            self.abort()
+        elif self.is_idle():
+            self.close()
+        elif self.phase is Phase.WAITING and self.is_quiet():
+            self._reject(BadRequest(408, "the request took too long to come"))
+
+    def _look_ahead(self) -> None:
+        """See what came behind the request that is held: what can't be read ends the connection at once."""
+        behind = self._h11.trailing_data[0]
+        ahead = h11.Connection(h11.SERVER)
+        ahead.receive_data(behind)
+        try:
+            whole = ahead.next_event() is not h11.NEED_DATA
+        except h11.RemoteProtocolError as bad:
+            log.info("connection ended: %s", bad)
+            self.abort()
+            return
+        self._frontend.move(self, Phase.OPEN if whole else Phase.BEHIND)
+        if len(behind) > BODY_MOST and self._transport is not None:
+            self._transport.pause_reading()  # it sends ahead; what is held is bounded
+
     def _read(self) -> None:
         """Take what has come, up to the end of one request."""
         try:
@@ -176,8 +270,9 @@
             self._reject(BadRequest(400, str(bad)))
         except Exception:
             log.exception("a request could not be handled")  # a defect: its request fails, no other
-            if self._transport is not None:
-                self._reject(BadRequest(500, "internal error"))
+            self._reject(BadRequest(500, "internal error"))
+        if self.phase is Phase.RESTING and (self._head is not None or self._h11.trailing_data[0]):
+            self._frontend.move(self, Phase.WAITING)
 
     def _next_event(self) -> bool:
         event = self._h11.next_event()
@@ -194,8 +289,10 @@
         return isinstance(event, h11.Request | h11.Data)
 
     def _begin(self, head: h11.Request) -> None:
-        length = next((v for n, v in head.headers if n == b"content-length"), b"0")
-        if int(length) > BODY_MOST:
+        framing = {name: value for name, value in head.headers if name in _FRAMING}
+        if b"transfer-encoding" in framing and (len(framing) > 1 or head.http_version != b"1.1"):
+            raise BadRequest(400, "two ways to tell the body's end")  # one may hide a request in the other
+        if int(framing.get(b"content-length", b"0")) > BODY_MOST:
             raise BadRequest(413, "the body is too large")
         if self._h11.they_are_waiting_for_100_continue and self._transport is not None:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
@@ -205,25 +302,28 @@
         """A request has come whole."""
         head, body = self._head, bytes(self._body)
         assert head is not None
-        self.used = True
         path = head.target.partition(b"?")[0]
         if path == _READY_PATH:
             self._answer(200 if self._frontend.hooks.ready() else 503, [], b"")
         elif path != _API_PATH and not path.startswith(_API_PATH + b"/"):
             raise BadRequest(404, "no such path")
         else:
-            call = parse_call(head, body, self._answer)
-            if call.service_class in self._frontend.keyed and not _is_keyed(head):
-                raise BadRequest(400, "idempotency-key is missing")  # servers could not drop its repeats
+            call = parse_call(head, body, self._frontend.settings, self._answer)
+            if self._frontend.hooks.is_out(call.ident):
+                raise BadRequest(409, "x-call-id is that of another request, which is still out")
             self._call = call
+            self._frontend.move(self, Phase.OPEN)
             self._frontend.hooks.taken(call)
 
     def _reject(self, bad: BadRequest) -> None:
+        """Turn the request away and end the connection: nothing more is expected of this client."""
         log.info("request rejected: %s", bad)
+        self._client_gone()
         if self._h11.our_state is h11.SEND_RESPONSE or self._h11.our_state is h11.IDLE:
-            self._answer(bad.status, [(b"Content-Type", b"text/plain")], f"{bad}\n".encode())
-        elif self._call is None:
-            self.close()
+            headers = [(b"Content-Type", b"text/plain"), (b"Connection", b"close")]
+            self._answer(bad.status, headers, f"{bad}\n".encode())
+        else:
+            self.abort()
 
     def _answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Write an answer whole, at once; its connection goes on if framing allows."""
@@ -231,28 +331,32 @@
         if self._transport is None or self._transport.is_closing():
             return
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        whole = self._h11.their_state is h11.DONE
-        if self._frontend.draining or not whole:
+        if self._frontend.draining or self._h11.their_state is not h11.DONE:
             headers.append((b"Connection", b"close"))
         reason = _REASONS.get(status, b"")
         events = [h11.Response(status_code=status, headers=headers, reason=reason), h11.EndOfMessage()]
-        if body:
+        if body and (self._head is None or self._head.method != b"HEAD"):
             events.insert(1, h11.Data(data=body))
         self._head, self._body = None, bytearray()
         self._transport.write(b"".join(self._h11.send(each) or b"" for each in events))
-        if not whole:
+        if self._h11.our_state is not h11.DONE:
             self._linger()
-        elif self._h11.our_state is not h11.DONE:
-            self.close()
-        elif not self._stuck:
-            asyncio.get_running_loop().call_soon(self._next_request)
+        else:
+            self._frontend.move(self, Phase.LEAVING if self._stuck else Phase.RESTING)
+            if not self._stuck:
+                asyncio.get_running_loop().call_soon(self._next_request)
 
     def _linger(self) -> None:
         """End our side and drop what still comes: closing on unread bytes would reset the answer away."""
-        if self._transport is not None:
-            self._lingering = True
+        if self._transport is not None and not self._transport.is_closing():
+            self._dropped = 0
+            self._frontend.move(self, Phase.LEAVING)
             self._transport.write_eof()
-            asyncio.get_running_loop().call_later(_LINGER_S, self.close)
+
+    def _drop(self, count: int) -> None:
+        self._dropped = (self._dropped or 0) + count
+        if self._dropped > _DROPPED_MOST and self._transport is not None:
+            self._transport.pause_reading()
 
     def _next_request(self) -> None:
         """Turn to what came behind the answered request."""
@@ -260,7 +364,7 @@
             return
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
-            self._frontend.rested(self)
+            self._frontend.move(self, Phase.RESTING)
             self._transport.resume_reading()
             self._read()
 
@@ -273,22 +377,26 @@
 class Frontend:
     """Listens for the application, within a bound on its connections."""
 
-    def __init__(
-        self, address: Address, most: int, hooks: Hooks, keyed: frozenset[str] = frozenset()
-    ) -> None:
+    def __init__(self, address: Address, most: int, hooks: Hooks, settings: Settings) -> None:
         self.hooks = hooks
-        self.keyed = keyed  # classes whose requests carry a key
+        self.settings = settings
         self.draining = False
-        self.connections: dict[ClientConnection, None] = {}  # the longest at rest first
         self._most = most
+        # The connections of each phase and since when they are in it, the longest first; `_most` in all.
+        self._phases: dict[Phase, dict[ClientConnection, float]] = {phase: {} for phase in Phase}
         self._accepting = False
         self._starting: set[asyncio.Task[None]] = set()
         self._sock = socket.create_server(address, backlog=_BACKLOG)
         self._sock.setblocking(False)
         self.address: Address = self._sock.getsockname()[:2]
 
+    @property
+    def connections(self) -> list[ClientConnection]:
+        return [each for phase in self._phases.values() for each in phase]
+
     def start(self) -> None:
         self._accept_again()
+        asyncio.get_running_loop().call_later(_SWEEP_S, self._sweep)
 
     def _accept_again(self) -> None:
         if not self._accepting and self._sock.fileno() >= 0:
@@ -300,10 +408,10 @@
         self._accepting = False
         asyncio.get_running_loop().remove_reader(self._sock)
 
-    def _accept(self) -> None:
+    def _accept(self, at_once: int = _ACCEPTED_AT_ONCE) -> None:
         """Take the connections that wait."""
-        for _ in range(_BACKLOG):
-            if len(self.connections) + len(self._starting) >= self._most and not self._make_room():
+        for _ in range(at_once):
+            if self._count() >= self._most and not self._make_room():
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
                 return
@@ -327,22 +435,56 @@
             loop = asyncio.get_running_loop()
             await loop.connect_accepted_socket(lambda: ClientConnection(self, sock), sock)
 
+    def _count(self) -> int:
+        return sum(map(len, self._phases.values())) + len(self._starting)
+
     def _make_room(self) -> bool:
-        """Close a connection at rest, one that has carried a request first: a new one is opened for one."""
-        at_rest = [each for each in self.connections if each.is_idle()]
-        chosen = next((each for each in at_rest if each.used), at_rest[0] if at_rest else None)
-        if chosen is not None:
-            chosen.close()
-            del self.connections[chosen]
-        return chosen is not None
-
-    def rested(self, connection: ClientConnection) -> None:
-        """A connection has begun to rest, or to wait for its next request."""
-        if self.connections.pop(connection, self) is None:
-            self.connections[connection] = None
+        """End a connection that holds no request.
+
+        First those that were told their last, then those that say nothing, then the longest at rest.  What is
+        new is spared while there are others: it was opened for a request that may be on its way.
+        """
+        grown = asyncio.get_running_loop().time() - _YOUNG_S
+        chosen = (
+            next(iter(self._phases[Phase.LEAVING]), None)
+            or self._quiet(Phase.WAITING, grown)
+            or self._quiet(Phase.RESTING)
+            or self._quiet(Phase.WAITING)
+        )
+        if chosen is None:
+            return False
+        self.lost(chosen)
+        chosen.abort()
+        return True
+
+    def _quiet(self, phase: Phase, before: float = float("inf")) -> ClientConnection | None:
+        """The longest in a phase, and since before this time, that has sent nothing which is still unread."""
+        for _, (connection, since) in zip(range(_TRIED_FOR_ROOM), self._phases[phase].items(), strict=False):
+            if since < before and connection.is_quiet():
+                return connection
+        return None
+
+    def _sweep(self) -> None:
+        """End what has passed the limit of its phase."""
+        loop = asyncio.get_running_loop()
+        for phase, limit in _LIMITS_S.items():
+            for connection, since in list(self._phases[phase].items()):
+                if since + limit > loop.time():
+                    break  # those behind it came later
+                connection.time_up()
+        loop.call_later(_SWEEP_S, self._sweep)
+
+    def opened(self, connection: ClientConnection) -> None:
+        self._phases[connection.phase][connection] = asyncio.get_running_loop().time()
+
+    def move(self, connection: ClientConnection, phase: Phase) -> None:
+        """Note a connection's phase; one that it is in already goes on."""
+        if connection.phase is not phase and self._phases[connection.phase].pop(connection, None) is not None:
+            connection.phase = phase
+            self.opened(connection)
 
     def lost(self, connection: ClientConnection) -> None:
-        self.connections.pop(connection, None)
+        self._phases[connection.phase].pop(connection, None)
 
     def drain(self) -> None:
         """Close what is at rest while new connections are still taken: a request that crosses comes again."""
@@ -351,17 +493,17 @@
 
     def close_idle(self, used: bool) -> None:
         """Close what is at rest; with `used`, not what was just opened for a request still on its way."""
-        for connection in list(self.connections):
-            if connection.is_idle() and (connection.used or not used):
+        for connection in self.connections:
+            if connection.is_idle() and (connection.phase is Phase.RESTING or not used):
                 connection.close()
 
     def stop(self) -> None:
         """Take what waits, then listen no more."""
         if self._sock.fileno() >= 0:
-            self._accept()
+            self._accept(_BACKLOG)
             if self._accepting:
                 self._pause()
             self._sock.close()
 
     def is_empty(self) -> bool:
-        return not self.connections and not self._starting
+        return not self._count()
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -34,7 +34,6 @@
     Probe,
     ProbeEnded,
     Refuse,
-    Repeat,
     ReportSource,
     RequestArrived,
     RequestGone,
@@ -111,6 +110,7 @@
         self._balancer = Balancer(settings, config.seed)
         self._live: dict[int, Live] = {}
         self._by_call: dict[Call, Live] = {}
+        self._out: set[str] = set()  # the ids that the application gave to what is live
         self._idents = itertools.count(1)
         self._events: deque[Event] = deque()
         self._handling = False
@@ -119,8 +119,8 @@
         self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
         self._known = config.known
         self._discovery = Discovery(config.discovery, config.known.version, self._told)
-        keyed = frozenset(each.name for each in settings.classes if each.repeat is Repeat.KEYED)
-        self.frontend = Frontend(config.listen, half, Hooks(self._taken, self._gone, self._is_ready), keyed)
+        hooks = Hooks(self._taken, self._gone, self._out.__contains__, self._is_ready)
+        self.frontend = Frontend(config.listen, half, hooks, settings)
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
             Refuse: self._refuse,
@@ -226,6 +226,7 @@
     def _taken(self, call: Call) -> None:
         live = Live(next(self._idents), call, self._clock.now() + call.budget_us)
         self._live[live.ident] = self._by_call[call] = live
+        self._out.add(call.ident)
         at = self._clock.on_loop(live.answer_by)
         live.backstop = asyncio.get_running_loop().call_at(at, self._give_up, live.ident)
         self.handle(
@@ -265,6 +266,7 @@
     def _forget_if_over(self, live: Live) -> None:
         if live.answered and not live.out:
             self._live.pop(live.ident, None)
+            self._out.discard(live.call.ident)
 
     def _refuse(self, action: Refuse) -> None:
         live = self._live.get(action.request)
