Take a spoilt answer for an error of a server that lives, at once

Cause: Connection._feed and judge() made every answer that can't be read a reset, and a reset that ejects makes its server cold (balancer._judge), with a start's small budget for 20 s, though nothing had started anew. Half answers, and lengths far over the limit, were waited for until the deadline. Now what the peer's bytes spoil is ERROR; a declared length over the limit, more than eight 1xx answers, and an answer that has begun but isn't whole within the dial limit end the attempt and its connection. Checked: 395 answers came with more than belonged to them, all of it in the same read (a probe; none came later than the answer was handled), so aborting on trailing bytes and the look before each reuse catch them. Answers carry no id.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -22,7 +22,7 @@
     world,
 )
 
-from topazbank.interface import Outcome, ServerState
+from topazbank.interface import Action, AttemptEnded, Event, Outcome, ServerState
 from topazbank.net.upstream import Address, Exchange, Order, Response, Upstream, connect, judge, parse_report
 
 
@@ -120,6 +120,52 @@
     play(scene())
 
 
+SPOILT = [
+    b"nonsense\r\n\r\n",
+    b"HTTP/1.1 200 X\r\nContent-Length: 3000000000\r\n\r\nand more",
+    b"HTTP/1.1 200 X\r\nContent-Length: -5\r\n\r\nabcde",
+    b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\nnot all of it",
+    b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n" + b"4000\r\n" + bytes(0x4000) + b"\r\n" * 8,
+    b"HTTP/1.1 200 X\r\nX-Long: " + b"a" * 200_000,
+    b"HTTP/1.1 200 X\r\nX-Half",
+    b"HTTP/1.1 103 X\r\n\r\n" * 9,
+]
+
+
+@pytest.mark.parametrize("spoilt", SPOILT, ids=range(len(SPOILT)))
+def test_a_spoilt_answer_is_an_error_at_once_and_its_connection_is_not_used_again(
+    spoilt: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The server keeps the connection open: nothing but the answer itself tells.
+    async def scene() -> None:
+        async with world(lambda *_: spoilt) as w:
+            real, heard = w.sidecar._balancer.handle, []
+
+            def handle(now: int, event: Event) -> list[Action]:
+                heard.append(event)
+                return real(now, event)
+
+            monkeypatch.setattr(w.sidecar._balancer, "handle", handle)
+            assert (await w.ask(kind="pay", body=b"x"))[0] == 500  # it may have run
+            assert [each.outcome for each in heard if isinstance(each, AttemptEnded)] == [Outcome.ERROR]
+            await until(lambda: w.servers[0].closed == 1)
+            w.servers[0].script = served
+            assert (await w.ask())[0] == 200 and len(w.servers[0].writers) == 2
+
+    play(scene())
+
+
+@pytest.mark.parametrize("more", [answer(200, b"a second copy"), b"noise"])
+def test_more_than_belongs_to_an_answer_costs_its_connection_and_nothing_else(more: bytes) -> None:
+    async def scene() -> None:
+        async with world(lambda *_: b"HTTP/1.1 103 X\r\n\r\n" + answer(200, b"done") + more) as w:
+            for number in range(3):
+                assert (await w.ask(X_Call_Id=f"{number}"))[2] == b"done"
+            assert len(w.servers[0].writers) == 3
+
+    play(scene())
+
+
 def test_a_hung_server_leaves_time_for_an_answer_and_its_connection_is_closed() -> None:
     async def scene() -> None:
         async with world(hung) as w:
@@ -243,7 +289,7 @@
         assert not connection.written
         other.close()  # with bytes unread: a reset
         assert await asyncio.wait_for(ended, PATIENCE_S) is None
-        assert judge(None, connection.written) is Outcome.DIAL_FAILED
+        assert judge(None, connection.written, connection.spoilt) is Outcome.DIAL_FAILED
         listener.close()
 
     play(scene())
@@ -264,7 +310,7 @@
         await until(lambda: connection.written)
         reset(writer)
         assert await asyncio.wait_for(ended, PATIENCE_S) is None
-        assert judge(None, connection.written) is Outcome.DROPPED
+        assert judge(None, connection.written, connection.spoilt) is Outcome.DROPPED
         listener.close()
 
     play(scene())
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -26,6 +26,7 @@
 
 _NOWHERE: Address = ("127.0.0.1", 0)  # of a server that takes nothing new anyway
 BODY_MOST = 64 * 1024  # of an attempt's answer, as the protocol has it
+_HINTS_MOST = 8  # 1xx answers ahead of the one that counts
 _IDLE_MARGIN = 0.1  # an idle connection is closed this part of its time before the server would
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
 _HOP_BY_HOP = frozenset(
@@ -72,10 +73,14 @@
 class Connection(asyncio.Protocol):
     """One connection to a server; it carries one request at a time."""
 
-    def __init__(self, sock: socket.socket, body_most: int) -> None:
+    def __init__(self, sock: socket.socket, body_most: int, stall_s: float | None = None) -> None:
         self.sock = sock
         self.reusable = True
+        self.spoilt = False  # whether it has answered with what is no answer
         self._body_most = body_most
+        self._stall_s = stall_s  # what an answer that has begun may take; None: bounded elsewhere
+        self._stall: asyncio.TimerHandle | None = None
+        self._hints = 0  # 1xx answers to the request that is out
         self._h11 = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
         self._ended: Callable[[Response | None], None] | None = None
@@ -102,7 +107,7 @@
     def request(self, head: h11.Request, body: bytes, ended: Callable[[Response | None], None]) -> None:
         """Write a request; `ended` is called once, with the whole answer or with None if it broke."""
         assert self._transport is not None
-        self._ended, self._written = ended, False
+        self._ended, self._written, self._hints = ended, False, 0
         events = [head, h11.Data(data=body), h11.EndOfMessage()] if body else [head, h11.EndOfMessage()]
         data = b"".join(self._h11.send(each) or b"" for each in events)
         self._transport.write(data)
@@ -118,28 +123,52 @@
             return
         self._feed(data)
 
+        if self._stall is None and self._stall_s is not None and self._has_begun():
+            self._stall = asyncio.get_running_loop().call_later(self._stall_s, self._spoil, "it stalled")
+
     def eof_received(self) -> bool:
         if self._ended is not None:
             self._feed(b"")
         return False
 
+    def _has_begun(self) -> bool:
+        """Whether a part of the answer is here, and not all of it."""
+        return self._ended is not None and (self._head is not None or bool(self._h11.trailing_data[0]))
+
     def _feed(self, data: bytes) -> None:
         try:
             self._h11.receive_data(data)
             while self._next_event():
                 pass
         except h11.RemoteProtocolError as broken:
-            log.debug("answer cut short or malformed: %s", broken)
-            self._finish(None)
+            if data:
+                self._spoil(str(broken))
+            else:
+                self._finish(None)  # cut short by the end of the connection
+
+    def _spoil(self, why: str) -> None:
+        """Give up on an answer that is none: the request ran, and the connection is of no further use."""
+        log.debug("answer spoilt: %s", why)
+        self.spoilt = True
+        self._finish(None)
 
     def _next_event(self) -> bool:
         event = self._h11.next_event()
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self._hints += 1
+            if self._hints > _HINTS_MOST:
+                self._spoil("no end of 1xx answers")
+                return False
+        elif isinstance(event, h11.Response):
             self._head = event
+            length = next((v for n, v in event.headers if n == b"content-length"), b"0")
+            if int(length) > self._body_most:
+                self._spoil("too long by its own account")
+                return False
         elif isinstance(event, h11.Data):
             self._body += event.data
             if len(self._body) > self._body_most:
-                self._finish(None)
+                self._spoil("too long")
                 return False
         elif isinstance(event, h11.EndOfMessage):
             self._finish(self._response())
@@ -158,6 +187,7 @@
     def _finish(self, response: Response | None) -> None:
         ended, self._ended = self._ended, None
         self._head, self._body = None, bytearray()
+        self._end_stall()
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         if response is None or not done or not self._written or self._h11.trailing_data[0]:
             self.abort()
@@ -168,11 +198,17 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.reusable = False
+        self._end_stall()
         ended, self._ended = self._ended, None
         if ended is not None:
             ended(None)
         self.on_lost()
 
+    def _end_stall(self) -> None:
+        if self._stall is not None:
+            self._stall.cancel()
+            self._stall = None
+
     def abort(self) -> None:
         """Close at once; what is not written yet never will be."""
         self.reusable = False
@@ -180,7 +216,7 @@
             self._transport.abort()
 
 
-async def connect(address: Address, body_most: int) -> Connection:
+async def connect(address: Address, body_most: int, stall_s: float | None = None) -> Connection:
     """Dial; raise OSError where no connection comes up."""
     loop = asyncio.get_running_loop()
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
@@ -188,7 +224,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         await loop.sock_connect(sock, address)
-        _, connection = await loop.create_connection(partial(Connection, sock, body_most), sock=sock)
+        _, connection = await loop.create_connection(partial(Connection, sock, body_most, stall_s), sock=sock)
     except BaseException:
         sock.close()
         raise
@@ -248,10 +284,12 @@
         ended(outcome, response)
 
 
-def judge(response: Response | None, written: bool) -> Outcome:
+def judge(response: Response | None, written: bool, spoilt: bool) -> Outcome:
     """What an ended exchange proves: it never ran only if that is certain."""
+    if response is None and not written:
+        return Outcome.DIAL_FAILED
     if response is None:
-        return Outcome.DROPPED if written else Outcome.DIAL_FAILED
+        return Outcome.ERROR if spoilt else Outcome.DROPPED  # who answers with noise is still there
     if response.status == 200:
         return Outcome.DELIVERED
     if response.status in (503, 504) and response.header(b"x-rejected") == "1":
@@ -381,7 +419,7 @@
         """Dial and write; say whether there is a connection now."""
         endpoint = exchange.endpoint
         try:
-            connection = await connect(endpoint.address, BODY_MOST)
+            connection = await connect(endpoint.address, BODY_MOST, self._dial_limit)
         except OSError as fault:
             log.debug("no connection to %s: %r", endpoint.name, fault)
             exchange.end(Outcome.DIAL_FAILED)
@@ -413,7 +451,7 @@
 
     def _answered(self, exchange: Exchange, connection: Connection, response: Response | None) -> None:
         self._put_back(exchange, connection)
-        exchange.end(judge(response, connection.written), response)
+        exchange.end(judge(response, connection.written, connection.spoilt), response)
 
     def _put_back(self, exchange: Exchange, connection: Connection) -> None:
         """Keep a connection for the next request, for less long than the server keeps it."""
