Rest connections before reuse; forget servers that have gone; one process an address

Ruled out: keep-alive limits (ends at about 1.8 s are some 15). Fault: Upstream._take_idle gave out the connection used last, at once. It now rests for 0.12 of the dial limit, which the network's ways fit into several times; so a second copy behind an answer is also seen before the next request. With no room for another, it is used. By reading: Balancer._servers, _numbered and Upstream._endpoints kept every server ever listed, and gone servers that were ejected kept counting against the share that may be. A former server's name stayed usable while another process listened at its address. Load figures with signs, exponents or underscores, and shares over 2, were believed.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -11,6 +11,7 @@
 import pytest
 from helpers import S
 from loopback import (
+    LIMITS,
     PATIENCE_S,
     FakeServer,
     answer,
@@ -197,11 +198,24 @@
         async with world(served) as w:
             for _ in range(5):
                 assert (await w.ask())[0] == 200
+                await asyncio.sleep(0.05)  # longer than it has to rest
             assert len(w.servers[0].writers) == 1
 
     play(scene())
 
 
+def test_a_connection_rests_before_it_is_used_again_unless_there_is_no_room_for_another() -> None:
+    # Guards against an end or a second copy that is under way behind the answer.
+    async def scene() -> None:
+        limits = LIMITS | {"dial_timeout_us": 600 * S}
+        async with world(served, sockets=72, limits=limits) as w:
+            for _ in range(9):
+                assert (await w.ask())[0] == 200
+            assert len(w.servers[0].writers) == 4  # all that the descriptors allow
+
+    play(scene())
+
+
 # Guards against a request that is written to a connection which its server has already ended.
 @pytest.mark.parametrize("how", ["end", "stray"])
 def test_a_connection_with_an_end_or_stray_bytes_is_not_used_again(how: str) -> None:
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -111,6 +111,7 @@
 CORES_BUSY = 0.85  # while servers report their cores less busy than this, there is room for more
 CORES_IDLE = 0.6  # cores this idle tell that late answers come from a few slow servers
 CORES_SATURATED = 0.95  # cores this busy tell of overload before late answers do
+UTIL_MOST = 2.0  # a report of more than noise can make of a share is junk
 CORES_STEP = 0.1  # of the last ten reports or so
 FLOOR_CREEP = 0.02  # the idle time may rise by this part of the median's step at each answer
 FLOOR_CREEP_PRESSED = 0.002  # and hardly while refusing
@@ -231,8 +232,9 @@
         self._longest_aim = max(each.aim_us for each in settings.classes)
         self._now = 0
         self._actions: list[Action] = []
-        self._servers: dict[str, Server] = {}  # every server ever listed
-        self._numbered: list[Server] = []  # by number
+        self._servers: dict[str, Server] = {}  # those listed, and those gone of which something is out
+        self._numbered: dict[int, Server] = {}  # the same, by number
+        self._heard_of = 0  # servers so far
         self._ready: list[Server] = []
         self._near: list[Server] = []  # of these, the ones in the own zone
         self._requests: dict[int, Request] = {}
@@ -375,6 +377,8 @@
                     server.state = ServerState.GONE
         for line in event.servers:
             self._server_listed(line)
+        for server in [each for each in self._servers.values() if each.state is ServerState.GONE]:
+            self._forget_gone(server)
         self._ready = [each for each in self._servers.values() if each.state is ServerState.READY]
         self._ready.sort(key=lambda each: each.place)
         self._near = [each for each in self._ready if each.zone == self._settings.zone]
@@ -386,10 +390,9 @@
     def _server_listed(self, line: ListedServer) -> None:
         server = self._servers.get(line.server)
         if server is None:
-            server = self._servers[line.server] = Server(
-                line.server, len(self._servers), self._random.random()
-            )
-            self._numbered.append(server)
+            self._heard_of += 1
+            server = Server(line.server, self._heard_of, self._random.random())
+            self._servers[line.server] = self._numbered[server.number] = server
         server.zone = line.zone
         server.cell = line.cell
         if server.state is ServerState.GONE or line.nominal != server.nominal:
@@ -402,6 +405,15 @@
             if server.ejected_until is not None and line.state is ServerState.READY:
                 self._readmit(server)  # a new process: what the old one did is history
 
+    def _forget_gone(self, server: Server) -> None:
+        """A server that has gone is no longer ejected: it would keep others from that; nor kept for long."""
+        if server.ejected_until is not None:
+            self._ejected.remove(server)
+            self._stuck -= server.in_flight
+            server.ejected_until = None
+        if not self._busy(server) and server.probed_at is None:
+            del self._servers[server.name], self._numbered[server.number]
+
     # -- Requests -------------------------------------------------------------------------------------
 
     def _request_arrived(self, event: RequestArrived) -> None:
@@ -969,7 +981,7 @@
         if event.outcome in _CONNECTED:
             self._connection_idle(attempt.server)
         self._judge(request, attempt, event.outcome)
-        if event.report and "util" in event.report:
+        if event.report and event.report.get("util", UTIL_MOST) < UTIL_MOST:
             busy = min(max(event.report["util"], 0.0), 1.0)
             self._cores = busy if self._cores is None else self._cores + CORES_STEP * (busy - self._cores)
         if event.outcome in (Outcome.EXPIRED, Outcome.CANCELLED):
@@ -1113,6 +1125,8 @@
                     self._turned_cold(server, self._now)  # its process may come back before the list says so
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
+        if server.state is ServerState.GONE:
+            return
         if server.ejected_until is None:
             if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
                 return
@@ -1210,8 +1224,8 @@
                     self._moved.append(self._queues[what])
                 continue
             if index == _IDLE:
-                server = self._numbered[what]
-                if server.idle and server.close_due <= self._now:
+                server = self._numbered.get(what)
+                if server is not None and server.idle and server.close_due <= self._now:
                     server.idle = 0
                     self._actions.append(CloseIdle(server.name))
                 continue
@@ -1234,7 +1248,8 @@
         if index == _TURN:
             return what not in self._queues or due != self._queues[what].rests_until
         if index == _IDLE:
-            return due != self._numbered[what].close_due or not self._numbered[what].idle
+            server = self._numbered.get(what)
+            return server is None or due != server.close_due or not server.idle
         if what in (_ASK, _BEAT):
             return due != (self._ask_due if what == _ASK else self._beat_due)
         request = self._requests.get(what)
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -28,6 +28,7 @@
     Fail,
     FetchList,
     Follow,
+    ListedServer,
     ListKind,
     Log,
     Outcome,
@@ -39,6 +40,7 @@
     RequestGone,
     Send,
     ServersListed,
+    ServerState,
     SetTimer,
     Settings,
     TimerFired,
@@ -360,7 +362,9 @@
         for line in told.lines:
             server = line.server
             self._upstream.update(server.server, line.address, server.started_at, server.state)
-        self.handle(ServersListed(kind, [line.server for line in told.lines], told.version))
+        servers = [line.server for line in told.lines]
+        servers += [ListedServer(name, state=ServerState.GONE) for name in self._upstream.displace()]
+        self.handle(ServersListed(kind, servers, told.version))
 
 
 def _head(call: Call, left_s: float) -> h11.Request:
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -9,7 +9,7 @@
 import asyncio
 import json
 import logging
-import math
+import re
 import socket
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -26,6 +26,7 @@
 
 _NOWHERE: Address = ("127.0.0.1", 0)  # of a server that takes nothing new anyway
 BODY_MOST = 64 * 1024  # of an attempt's answer, as the protocol has it
+_REST_PART = 0.12  # of the dial limit: so long a connection rests after an answer before it is used again
 _HINTS_MOST = 8  # 1xx answers ahead of the one that counts
 _IDLE_MARGIN = 0.1  # an idle connection is closed this part of its time before the server would
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
@@ -240,6 +241,7 @@
     started_at: int | None
     state: ServerState
     generation: int = 0  # of its process: older connections are not used again
+    # The longest at rest first, each with the timer that closes it; bounded with all connections.
     idle: list[tuple[Connection, asyncio.TimerHandle]] = field(default_factory=list)
     dialling: set[Exchange] = field(default_factory=set)
 
@@ -303,15 +305,17 @@
     def __init__(self, dial_limit_s: float, idle_s: float, most: int) -> None:
         self._dial_limit = dial_limit_s
         self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
+        self._rest_s = _REST_PART * dial_limit_s
         self._most = most
         self._open = 0  # connections, and dials under way
-        self._endpoints: dict[str, Endpoint] = {}
+        self._endpoints: dict[str, Endpoint] = {}  # of the servers that the list holds now
 
     def update(self, name: str, address: Address | None, started_at: int | None, state: ServerState) -> None:
         """Note what the list says of a server; a new process or place makes its old connections useless."""
         known = self._endpoints.get(name)
         if known is None:
-            self._endpoints[name] = Endpoint(name, address or _NOWHERE, started_at, state)
+            if state is not ServerState.GONE:
+                self._endpoints[name] = Endpoint(name, address or _NOWHERE, started_at, state)
             return
         address = address or known.address
         if (known.address, known.started_at) != (address, started_at):
@@ -321,13 +325,27 @@
         known.state = state
         if state is not ServerState.READY:
             self._withdraw(known)
+        if state is ServerState.GONE:
+            del self._endpoints[name]  # what is still out there holds it until it ends
 
     def retain(self, names: Collection[str]) -> None:
         """Drop all servers but these."""
-        for endpoint in self._endpoints.values():
-            if endpoint.name not in names:
-                endpoint.state = ServerState.GONE
-                self._withdraw(endpoint)
+        for name in [each for each in self._endpoints if each not in names]:
+            self.update(name, None, None, ServerState.GONE)
+
+    def displace(self) -> list[str]:
+        """Drop the servers whose address is that of one that started later: its process listens there now."""
+        latest: dict[Address, Endpoint] = {}
+        former = []
+        for each in self._endpoints.values():
+            other = latest.setdefault(each.address, each)
+            older, newer = sorted((other, each), key=lambda endpoint: endpoint.started_at or 0)
+            if each.address != _NOWHERE and (older.started_at or 0) < (newer.started_at or 0):
+                former.append(older.name)
+            latest[each.address] = newer
+        for name in former:
+            self.update(name, None, None, ServerState.GONE)
+        return former
 
     def _withdraw(self, endpoint: Endpoint) -> None:
         """End what was not written to a server that takes nothing new: a slow dial may outlast the grace."""
@@ -344,7 +362,9 @@
             exchange.end(Outcome.UNSENT)
             return exchange
         exchange.timers.append(loop.call_at(until, self._time_up, exchange))
-        connection = self._take_idle(endpoint)
+        connection = self._take_idle(endpoint, self._rest_s)
+        if connection is None and self._open >= self._most:
+            connection = self._take_idle(endpoint, 0.0)  # no room for another
         if connection is not None:
             self._write(exchange, connection)
         elif self._make_room():
@@ -393,9 +413,18 @@
         if exchange.connection is None:
             exchange.end(Outcome.DIAL_FAILED)
 
-    def _take_idle(self, endpoint: Endpoint) -> Connection | None:
-        while endpoint.idle:
-            connection, timer = endpoint.idle.pop()
+    def _take_idle(self, endpoint: Endpoint, rest_s: float) -> Connection | None:
+        """The last used of those that have rested.
+
+        What a server does to a connection after its answer, an end or more bytes, is under way for as long as
+        the network takes; what is written meanwhile may have run and would be lost, or get another's answer.
+        """
+        closed_by = asyncio.get_running_loop().time() + self._idle_s - rest_s
+        for index in reversed(range(len(endpoint.idle))):
+            connection, timer = endpoint.idle[index]
+            if timer.when() > closed_by:
+                continue
+            del endpoint.idle[index]
             timer.cancel()
             if connection.is_idle():
                 return connection
@@ -477,6 +506,8 @@
         await asyncio.gather(*dials, return_exceptions=True)
 
 
+_FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,18})?", re.ASCII)  # a count or a share: wilder ones are junk
+
 # -- Load reports -------------------------------------------------------------------------------------
 
 
@@ -486,19 +517,15 @@
         return None
     kind, _, rest = text.strip().partition(" ")
     if kind.upper() != "TEXT":
-        log.warning("load report skipped: %.80r", text)
+        log.debug("load report skipped: %.80r", text)
         return None
     report = {}
     for part in rest.split(","):
         name, _, value = part.partition("=")
-        try:
-            figure = float(value)
-        except ValueError:
-            figure = math.nan
-        if not math.isfinite(figure):
-            log.warning("load figure skipped: %.80r", part)
+        if not _FIGURE.fullmatch(value.strip()):
+            log.debug("load figure skipped: %.80r", part)
         elif name.strip() in columns:
-            report[name.strip()] = figure
+            report[name.strip()] = float(value)
     return report or None
 
 
@@ -509,8 +536,7 @@
         return parse_report(text, columns)
     try:
         given = json.loads(text)
-    except ValueError:
-        log.warning("load report skipped: %.80r", text)
+    except (ValueError, RecursionError):
+        log.debug("load report skipped: %.80r", text)
         return None
-    figures = {k: v for k, v in given.items() if k in columns and isinstance(v, int | float)}
-    return {k: float(v) for k, v in figures.items() if math.isfinite(v)} or None
+    return parse_report("TEXT " + ",".join(f"{name}={value}" for name, value in given.items()), columns)
