Presume a restart only after failed dials; three failures eject a server

Checked: window, load and reports (a probe of the module): the window was wide, cores a quarter busy, and 14 of 14 servers were cold with no room; nobody was left to pick 6,600 times. Ruled out: CPU (0.26 s in a second at most), descriptors. Fault: Balancer._judge ejected after two broken connections in a row, which a network that breaks one in thirty does 50 times in 20 s, and took each for a restart that the list had not told of. Now only dials that failed in a row, or at the trial, are taken for that; three failures eject.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -437,3 +437,15 @@
     assert not stage.balancer._send(waiting, server)
     stage.balancer._now += 100 * MS
     assert stage.balancer._send(waiting, server)
+
+
+def test_broken_connections_alone_do_not_make_a_server_cold_and_failed_dials_do() -> None:
+    # Guards against a network that breaks connections by chance: in a while every server would be cold.
+    for outcome, cold in ((Outcome.DROPPED, False), (Outcome.DIAL_FAILED, True)):
+        stage = Stage()
+        stage.servers(names(1))
+        server = stage.balancer._servers[names(1)[0]]
+        for _ in range(3):
+            request = stage.request("pay")
+            stage.play(AttemptEnded(request, 0, server.name, outcome, 1, False))
+        assert server.strikes == 3 and stage.balancer._is_cold(server) is cold
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -79,7 +79,7 @@
 REMOTE_EVEN = 0.3  # the own zone this far behind the others' pace, all zones are drawn alike
 EXTRA_PER_REQUEST = 0.2  # further attempts after failures, for each first attempt: no retry storms
 EXTRA_SAVED = 50.0  # first attempts whose allowance may be saved up
-STRIKES = 2  # failures in a row, none answered between, that eject a server
+STRIKES = 3  # failures in a row, none answered between, that eject a server: networks break a few by chance
 EJECT_AIMS = 2.0  # first ejection lasts this many of the longest aim; it doubles with each failed trial
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
 SILENT_MOST = 0.34  # no more than this share is ejected for silence alone: more is overload, not sickness
@@ -154,6 +154,7 @@
     ghosts: list[int] = field(default_factory=list)  # when each attempt given up on stops counting
     last_answer_at: int = -1
     strikes: int = 0
+    unreached: int = 0  # failed dials in a row
     ejections: int = 0
     ejected_until: int | None = None  # None: not ejected
     turned_away: dict[Flow, tuple[int, int]] = field(default_factory=dict)  # until when, how often in a row
@@ -1108,7 +1109,7 @@
         if trial:
             server.trial = None
         if outcome is Outcome.DELIVERED:
-            server.strikes = 0
+            server.strikes = server.unreached = 0
             server.last_answer_at = self._now
             self._answers += 1
             if not self._is_cold(server):
@@ -1119,9 +1120,10 @@
             if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
                 return  # it is slow, not sick: it answered others meanwhile
             server.strikes += 1
+            server.unreached = server.unreached + 1 if outcome is Outcome.DIAL_FAILED else 0
             if trial or (server.strikes >= STRIKES and server.ejected_until is None):
                 self._eject(server, outcome.value)
-                if outcome in (Outcome.DIAL_FAILED, Outcome.DROPPED):
+                if server.unreached >= (1 if trial else STRIKES):  # broken connections alone prove nothing
                     self._turned_cold(server, self._now)  # its process may come back before the list says so
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
