Size a new balancer's window only once it can tell; say when to come back

Checked with a probe each second: after each start the window stood at 11 to 25 for two seconds while 450 requests a second came and cores were half busy. Ruled out: ejections (two or three as before), cold budgets (no room nowhere: 0), CPU. Fault: Balancer._size_window took the first answers, all over new connections and against rates that were not full yet, for overload. It now waits for two of the longest aim, unless a fifth of the answers are late. Refusals now carry a time: a tenth of the aim, spread out, within max_retry_after_us.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -449,3 +449,24 @@
             request = stage.request("pay")
             stage.play(AttemptEnded(request, 0, server.name, outcome, 1, False))
         assert server.strikes == 3 and stage.balancer._is_cold(server) is cold
+
+
+def test_a_refusal_says_when_to_come_back_where_the_settings_allow_it() -> None:
+    for limits, most in (({}, 0), ({"retry_after": True, "max_retry_after_us": 30 * MS}, 30 * MS)):
+        stage = Stage(settings(limits=limits))
+        for _ in range(20):
+            stage.request()  # there is no server
+        told = [each.retry_after_us for each in stage.said(Refuse)]
+        assert len(told) == 20 and max(told) <= most
+        assert len(set(told)) > 1 if most else not any(told)  # spread out
+
+
+def test_a_new_balancer_does_not_size_its_window_by_its_first_answers() -> None:
+    # Guards against refusals after each restart: all connections are new, and the rates not full yet.
+    balancer = Stage().balancer
+    for spent in [0.5] * 8:
+        balancer._feel(spent)
+    assert balancer._window == float("inf")
+    for _ in range(40):
+        balancer._feel(2.0)  # nearly all late: that is overload, however new the balancer
+    assert balancer._window < float("inf")
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -100,6 +100,8 @@
 FLOOR_ROOM = 1.2  # but never less than this many times what it takes when the fleet is idle
 AIM_SPENT_MOST = 0.5  # and never more than this part of the aim, or overload would pass for the usual
 SPENT_MOST = 1.0  # the median is not followed past the aim: from there it must find back
+NEW_AIMS = 2.0  # the window is first sized this many of the longest aim after the first answer
+BACK_AIMS = 0.1  # a refused client should come back after about this part of its aim
 LEAST_WINDOW = 0.1  # a trickle passes at any time, so that relief is seen
 MANY = 8.0  # fewer own requests in flight than this are chance for a good part
 STRETCH_MOST = 4.0  # so the fewer, the longer loads are averaged and the larger the steps, up to this
@@ -290,6 +292,7 @@
         self._mean_load = 0.0  # own requests in flight, averaged
         self._load_at = 0
         self._sized_at = 0
+        self._sized_from = 0
         self._mix: dict[tuple[str, str | None], Mix] = {}
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -301,7 +304,7 @@
         if not self._begun:
             self._begun = True
             self._ask()
-        match event:
+        match event:  # messages: none are sent, so none are awaited
             case AttemptEnded():
                 self._attempt_ended(event)
             case RequestArrived():
@@ -316,8 +319,6 @@
                 self._answer_started(event)
             case ProbeEnded():
                 self._probe_ended(event)
-            case _:
-                pass  # messages: none are sent, so none are awaited
         self._take_turns()
         self._keep_beat()
         self._arm_timer()
@@ -519,6 +520,7 @@
         (self._in_time if spent <= 1.0 else self._too_late).add(self._now, 1.0)
         if self._floor is None:
             self._spent = self._floor = min(spent, AIM_SPENT)
+            self._sized_from = self._now + int(NEW_AIMS * self._longest_aim)
         stretch = self._stretch()
         step = stretch * MEDIAN_STEP * (1.0 if spent > self._spent else -1.0)
         self._spent = max(0.0, min(self._spent + step, SPENT_MOST))
@@ -548,6 +550,8 @@
         let in less by themselves.  By Little's law, what is answered at this rate within the allowed level
         needs rate times time in flight; below that the window never shrinks, or late news would shut it.
         """
+        if self._now < self._sized_from and self._late < 4 * LATE_ALLOWED:
+            return  # every connection is new and the rates are not full yet: neither tells of overload
         stretch = self._stretch()
         lapse = min(self._now - self._sized_at, stretch * self._longest_aim / 4)
         self._sized_at = self._now
@@ -945,7 +949,10 @@
         harmless = request.kind.repeat is Repeat.SAFE or not any(a.may_have_run for a in request.attempts)
         if request.kind.repeat is Repeat.KEYED and request.kind.group is Group.ALL:
             harmless = True
-        self._actions.append(Refuse(request.ident) if harmless else Fail(request.ident))
+        limits = self._settings.limits  # spread out, or those refused at once would be back at once
+        back = min(BACK_AIMS * request.kind.aim_us * (0.5 + self._random.random()), limits.max_retry_after_us)
+        refusal = Refuse(request.ident, int(back) if limits.retry_after else 0)
+        self._actions.append(refusal if harmless else Fail(request.ident))
         self._close(request)
 
     def _close(self, request: Request) -> None:
@@ -1068,7 +1075,7 @@
         that answered anything since is slow, not silent; if others were as silent, all are overloaded.
         """
         server = attempt.server
-        silent = server.last_answer_at <= attempt.sent_at
+        silent, others = server.last_answer_at <= attempt.sent_at, self._answers - attempt.answers_before
         if self._now == self._back_at:
             # Its answer may be among what came meanwhile.
             self._schedule(self._now + self._settings.tick_us, request.ident, attempt.index)
@@ -1085,9 +1092,7 @@
         enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
         if silent and waited < enough:
             self._schedule(self._now + int(enough) - waited, request.ident, attempt.index)
-        elif (
-            silent and server.ejected_until is None and self._answers - attempt.answers_before >= QUIET_PEERS
-        ):
+        elif silent and server.ejected_until is None and others >= QUIET_PEERS:
             self._eject(server, "silent", SILENT_MOST)
         silent = silent and server.ejected_until is not None
         limits = self._settings.limits
@@ -1137,9 +1142,8 @@
             self._actions.append(Log(f"ejected {server.name}: {reason}"))
         aims = min(EJECT_AIMS * 2**server.ejections, EJECT_AIMS_MOST)
         server.ejections = min(server.ejections + 1, 8)
-        server.ejected_until = self._now + int(
-            aims * self._longest_aim * (0.75 + 0.5 * self._random.random())
-        )
+        wait = aims * self._longest_aim * (0.75 + 0.5 * self._random.random())
+        server.ejected_until = self._now + int(wait)
 
     def _readmit(self, server: Server) -> None:
         server.ejected_until = None
