Collect closed connections in seconds, not once a minute

Checked (a probe of live objects): tables of the module, timers and tasks level; 1,342 closed transports held for 150 open ones. An asyncio transport holds a bound method of its own, so only full collections free it, and by the default thresholds one came in about a minute.

--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -25,6 +25,9 @@
 
 _BAD_CONFIG = (OSError, ValueError, RecursionError)
 _SOCKETS = 1024  # unless the configuration tells
+# An asyncio transport refers to itself, so what a closed connection leaves is freed by full collections alone.
+# They are cheap here (a few thousand objects), and by the defaults come about once in a minute and 2 MB.
+_COLLECTED = (700, 5, 2)
 _LOG_LINES = 50  # a second at most
 
 
@@ -119,6 +122,7 @@
         print(f"bad configuration: {bad}".replace("\n", " "), file=sys.stderr)
         return 2
     gc.freeze()  # what is loaded by now stays; collections look at requests alone
+    gc.set_threshold(*_COLLECTED)
     try:
         asyncio.run(serve(config))
     except OSError as fault:
