Let at most a third of the client connections rest

Checked: the module refused none and heard 40 requests a second of 130 (a probe); the frontend answered nothing but 200 and had 154 of 160 places at rest. Ruled out: rejections (no log line), pauses of accepting (none), the window (never sized). Cause: clients that ask once and keep their connection. Clients hold 128 connections, fewer than our bound of 160, so that nothing made room: 128 over the 4 s that one could rest is 32 requests a second. Fault: Frontend bounded all connections, not those at rest. The longest at rest now goes once more than a third rest, and at 2 s. Also: more is dropped after a rejection before reading stops, since a client that sends first and reads then lost it.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -364,3 +364,21 @@
                 writer.close()
 
     play(scene())
+
+
+def test_clients_that_ask_once_and_stay_leave_room_for_others() -> None:
+    # Guards clients that hold few connections: what they keep without use would be all they have.
+    async def scene() -> None:
+        async with world(served, sockets=88) as w:
+            readers = []
+            for number in range(8):
+                reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+                writer.write(request(X_Call_Id=f"{number}"))
+                assert (await read_answer(reader))[0] == 200
+                readers.append((reader, writer))
+            assert len(w.sidecar.frontend.connections) <= 4  # a third of the twelve allowed
+            assert await is_closed(readers[0][0])
+            for _, writer in readers:
+                writer.close()
+
+    play(scene())
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -27,7 +27,9 @@
 _SWEEP_S = 0.1  # how often connections are looked at for their limits
 _YOUNG_S = 0.1  # a connection this new may have its request on the way: others make room first
 _TRIED_FOR_ROOM = 4  # connections that are looked at for one that can make room
-_DROPPED_MOST = 4 * BODY_MOST  # read and dropped of what comes after a rejection, so that its answer arrives
+_DROPPED_MOST = (
+    128 * BODY_MOST
+)  # read and dropped of what comes after a rejection, so that its answer arrives
 _IDENT_MOST = 256  # characters
 _OVER_DEADLINE = 1.1  # a budget may exceed its class's deadline by rounding, no more
 _REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed"}
@@ -92,7 +94,7 @@
     LEAVING = auto()  # its last answer is still being taken
 
 
-_LIMITS_S = {Phase.WAITING: 2.0, Phase.BEHIND: 2.0, Phase.RESTING: 4.0, Phase.LEAVING: 1.0}
+_LIMITS_S = {Phase.WAITING: 2.0, Phase.BEHIND: 2.0, Phase.RESTING: 2.0, Phase.LEAVING: 1.0}
 
 
 def parse_call(
@@ -382,6 +384,7 @@
         self.settings = settings
         self.draining = False
         self._most = most
+        self._most_at_rest = max(most // 3, 1)  # clients may keep for good what they will not use again
         # The connections of each phase and since when they are in it, the longest first; `_most` in all.
         self._phases: dict[Phase, dict[ClientConnection, float]] = {phase: {} for phase in Phase}
         self._accepting = False
@@ -482,6 +485,11 @@
         if connection.phase is not phase and self._phases[connection.phase].pop(connection, None) is not None:
             connection.phase = phase
             self.opened(connection)
+            if phase is Phase.RESTING and len(self._phases[phase]) > self._most_at_rest:
+                oldest = self._quiet(phase)
+                if oldest is not None and oldest.is_idle():
+                    self.lost(oldest)
+                    oldest.close()
 
     def lost(self, connection: ClientConnection) -> None:
         self._phases[connection.phase].pop(connection, None)
