Tell own lag from dead servers; drop clients that have left before working for them

A stall was seen only if no event came between: the beat was reset by any event (_notice_stall), and its pardon held for one instant. Two of three requests were of clients that had left in the accept queue, 16 accepted a turn. Ruled out: the window (inf), ghosts (10), rests. Now a dial's limit asks the kernel, failures met while behind are no strikes, learning waits until a stall is worked off, what its client closed is dropped unread.

--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -58,9 +58,7 @@
 BEARABLE_SPENT = 0.7  # a probed server may be expected to take this part of the aim, for the most worthy
 BEARABLE_SPREAD = 0.5  # and this much less of it for the least worthy
 FIT_STEP = 0.03  # what a held request costs in time is fitted over the last thirty answers or so
-FIT_CLIP = (
-    3.0  # one answer counts for at most this many times what was expected: a jam that passes is no rule
-)
+FIT_CLIP = 3.0  # one answer counts for at most this many times what was expected: a jam is no rule
 FIT_FLOOR = 0.2  # but for this part of the aim at any rate
 FIT_LEAST = 5.0  # fewer say nothing
 BEAT_AIMS = 0.1  # while anything is out, a timer falls due this often, so that an own stall is noticed
@@ -260,6 +258,7 @@
         self._beat = max(int(BEAT_AIMS * min(each.aim_us for each in settings.classes)), settings.tick_us)
         self._beat_due = 0  # when the next beat falls due, while anything is out
         self._back_at = -1  # when this balancer last came back from a stall of its own
+        self._caught_up_at = -1  # and by when it has gone through what came meanwhile
         self._absent_us = 0  # how long it has stalled, over all its stalls
         self._begun = False
         self._failed_calls = 0
@@ -300,7 +299,7 @@
         self._now = now
         self._actions = []
         self._follow_load()
-        self._notice_stall()
+        self._notice_stall(event)
         if not self._begun:
             self._begun = True
             self._ask()
@@ -324,18 +323,24 @@
         self._arm_timer()
         return self._actions
 
-    def _notice_stall(self) -> None:
+    def _notice_stall(self, event: Event) -> None:
         """Notice that this balancer itself stood still: a timer of its own came far too late.
 
         What it finds on its return came at times it cannot tell, so nothing is learned from them: else it
-        would take its own absence for slow servers, eject them and refuse what they could serve.
+        would take its own absence for slow servers, eject them and refuse what they could serve.  Going
+        through all that takes a while; as long as the stall is enough, and one with too little CPU stays so.
         """
         late = self._now - self._beat_due
         if self._beat_due and late > STALL_BEATS * self._beat:
             self._absent_us += late
             self._back_at = self._now
-        if late >= 0:
+            self._caught_up_at = self._now + late + self._beat
             self._beat_due = 0
+        elif late >= 0 and isinstance(event, TimerFired):
+            self._beat_due = 0  # by no other event: where they are many they come on time, and timers wait
+
+    def _is_behind(self) -> bool:
+        return self._now <= self._caught_up_at
 
     def _keep_beat(self) -> None:
         if self._pending and not self._beat_due:
@@ -756,20 +761,12 @@
         """
         if self._settings.prices.cross_zone <= 0.0 or self._late >= LATE_ALLOWED or self._fill() > FREE:
             return 1.0  # room anywhere is worth more than a crossing
-        near = far = 0.0
-        near_count = far_count = 0
-        for each in self._ready:
-            if each.ejected_until is not None:
-                continue
-            if each.zone == self._settings.zone:
-                near += each.pace
-                near_count += 1
-            else:
-                far += each.pace
-                far_count += 1
-        if not near_count or not far_count or far <= 0.0:
+        awake = [each for each in self._ready if each.ejected_until is None]
+        near = [each.pace for each in awake if each.zone == self._settings.zone]
+        far = [each.pace for each in awake if each.zone != self._settings.zone]
+        if not near or sum(far) <= 0.0:
             return 1.0
-        behind = (near / near_count) / (far / far_count) - 1.0
+        behind = (sum(near) / len(near)) / (sum(far) / len(far)) - 1.0
         return max(REMOTE_LEAST, min(behind / REMOTE_EVEN, 1.0))
 
     def _eligible(self, server: Server, request: Request) -> bool:
@@ -1000,14 +997,14 @@
             attempt.server.ghosts.append(until)
             if attempt.server.ejected_until is None:
                 heapq.heappush(self._ghosts, until)
-            if event.elapsed_us > self._usual(request) * attempt.server.pace and self._now != self._back_at:
+            if event.elapsed_us > self._usual(request) * attempt.server.pace and not self._is_behind():
                 self._pace(attempt.server, request, event.elapsed_us)
         if event.outcome is Outcome.ERROR:
             # A quick error must not look like a quick server: it counts as the slowest answer there is.
             self._pace(attempt.server, request, int(PACE_CLIP * self._usual(request)))
         if event.outcome is Outcome.DELIVERED:
             self._served_aims.add(self._now, request.kind.aim_us)
-        if event.outcome is Outcome.DELIVERED and self._now != self._back_at:
+        if event.outcome is Outcome.DELIVERED and not self._is_behind():
             if attempt.held is not None:
                 expected = self._by_held.at(attempt.held)
                 most = LOST_SPENT if expected is None else max(FIT_CLIP * expected, FIT_FLOOR)
@@ -1077,9 +1074,9 @@
         """
         server = attempt.server
         silent, others = server.last_answer_at <= attempt.sent_at, self._answers - attempt.answers_before
-        if self._now == self._back_at:
+        if self._is_behind():
             # Its answer may be among what came meanwhile.
-            self._schedule(self._now + self._settings.tick_us, request.ident, attempt.index)
+            self._schedule(self._caught_up_at + self._settings.tick_us, request.ident, attempt.index)
             return
         waited = self._now - attempt.sent_at - (self._absent_us - attempt.absent_before)
         if waited < request.kind.aim_us:
@@ -1125,6 +1122,8 @@
         elif outcome in (Outcome.EXPIRED, Outcome.DROPPED, Outcome.DIAL_FAILED, Outcome.ERROR):
             if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
                 return  # it is slow, not sick: it answered others meanwhile
+            if outcome in (Outcome.EXPIRED, Outcome.DIAL_FAILED) and self._is_behind() and not trial:
+                return  # this balancer was slow
             server.strikes += 1
             server.unreached = server.unreached + 1 if outcome is Outcome.DIAL_FAILED else 0
             if trial or (server.strikes >= STRIKES and server.ejected_until is None):
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -14,7 +14,7 @@
 import h11
 
 from topazbank.interface import Repeat, Settings
-from topazbank.net.upstream import Address, Headers, Reader, end_to_end, is_quiet, message
+from topazbank.net.upstream import Address, Headers, Reader, end_to_end, has_ended, is_quiet, message
 
 log = logging.getLogger(__name__)
 
@@ -22,7 +22,7 @@
 _READY_PATH = b"/health/ready"
 _API_PATH = b"/api"
 _BACKLOG = 512
-_ACCEPTED_AT_ONCE = 16  # connections, before others are looked at again
+_ACCEPTED_AT_ONCE = 64  # connections, before others are looked at again
 _ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
 _SWEEP_S = 0.1  # how often connections are looked at for their limits
 _YOUNG_S = 0.1  # a connection this new may have its request on the way: others make room first
@@ -204,6 +204,11 @@
         if self._dropped is not None:
             self._drop(len(data))
             return
+        if self._call is None and has_ended(self._sock):
+            # Its client has left while the request waited here.  Guards a busy sidecar against work for those
+            # that gave up: done for all, it would keep the next ones waiting until they give up too.
+            self.abort()
+            return
         self._h11.receive_data(data)
         if self._call is not None:
             self._look_ahead()
@@ -428,6 +433,9 @@
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
                 return
+            if has_ended(sock):
+                sock.close()  # it waited for longer than its client did
+                continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = asyncio.get_running_loop().create_task(self._begin(sock))
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -10,6 +10,7 @@
 import json
 import logging
 import re
+import select
 import socket
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -68,6 +69,22 @@
     return False
 
 
+def is_up(sock: socket.socket) -> bool:
+    """Whether a dialled connection has come up."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
+def has_ended(sock: socket.socket) -> bool:
+    """Whether the other side has closed a connection, though what it sent before may be unread."""
+    look = select.poll()
+    look.register(sock, select.POLLRDHUP)
+    return bool(look.poll(0))
+
+
 @dataclass(slots=True)
 class Response:
     """A whole answer."""
@@ -252,10 +269,16 @@
             self._transport.abort()
 
 
-async def connect(address: Address, body_most: int, stall_s: float | None = None) -> Connection:
+def new_socket(address: Address) -> socket.socket:
+    return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+
+
+async def connect(
+    address: Address, body_most: int, stall_s: float | None = None, sock: socket.socket | None = None
+) -> Connection:
     """Dial; raise OSError where no connection comes up."""
     loop = asyncio.get_running_loop()
-    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    sock = sock or new_socket(address)
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -398,8 +421,6 @@
         elif self._make_room():
             self._open += 1
             endpoint.dialling.add(exchange)
-            limit = loop.time() + self._dial_limit
-            exchange.timers.append(loop.call_at(limit, self._dial_time_up, exchange))
             exchange.dial = loop.create_task(self._dial(exchange))
             exchange.dial.add_done_callback(self._dialled)
         else:
@@ -436,8 +457,12 @@
         )
 
     @staticmethod
-    def _dial_time_up(exchange: Exchange) -> None:
-        if exchange.connection is None:
+    def _dial_time_up(exchange: Exchange, sock: socket.socket) -> None:
+        """End a dial, unless its connection is up and only this program has not come to look.
+
+        Guards a busy sidecar against taking its own lag for dead servers.  The attempt's end bounds it still.
+        """
+        if exchange.connection is None and not is_up(sock):
             exchange.end(Outcome.DIAL_FAILED)
 
     def _take_idle(self, endpoint: Endpoint, rest_s: float) -> Connection | None:
@@ -475,7 +500,10 @@
         """Dial and write; say whether there is a connection now."""
         endpoint = exchange.endpoint
         try:
-            connection = await connect(endpoint.address, BODY_MOST, self._dial_limit)
+            sock = new_socket(endpoint.address)
+            loop = asyncio.get_running_loop()
+            exchange.timers.append(loop.call_later(self._dial_limit, self._dial_time_up, exchange, sock))
+            connection = await connect(endpoint.address, BODY_MOST, self._dial_limit, sock)
         except OSError as fault:
             log.debug("no connection to %s: %r", endpoint.name, fault)
             exchange.end(Outcome.DIAL_FAILED)
