Test own lag, idle cores and clients that left; an overdue attempt whose server answers others says nothing of its cores

A connection that fell silent at a server that answers on others moved the mean of the cores towards busy; now only a silent server does.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -202,6 +203,22 @@
     play(scene())
 
 
+def test_nothing_is_sent_for_a_client_that_left_before_its_request_was_read() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            assert (await w.ask(path="/api/1"))[0] == 200
+            await asyncio.sleep(0.05)  # its connection has rested: what comes next is written at once
+            accepted, fresh = [socket.create_connection(w.sidecar.frontend.address) for _ in range(2)]
+            await until(lambda: len(w.sidecar.frontend.connections) >= 2)
+            for each in (accepted, fresh, socket.create_connection(w.sidecar.frontend.address)):
+                each.sendall(request(path="/api/2", X_Call_Id="gone"))
+                each.close()  # before the loop has had a turn
+            assert (await w.ask(path="/api/3", X_Call_Id="next"))[0] == 200
+            assert [first.split(" ")[1] for first, _, _ in w.sent()] == ["/api/1", "/api/3"]
+
+    play(scene())
+
+
 def test_connections_are_used_again() -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -369,6 +386,23 @@
     play(scene())
 
 
+def test_a_connection_that_came_up_while_the_program_lagged_is_no_failed_dial() -> None:
+    async def scene() -> None:
+        server = FakeServer("s", served)
+        await server.start()
+        upstream = Upstream(0.1, 60.0, 10)
+        upstream.update("s", server.address, None, ServerState.READY)
+        outcome = asyncio.create_task(outcome_of(upstream))
+        while not upstream._open:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)  # now it is dialled
+        time.sleep(0.5)
+        assert await outcome is Outcome.DELIVERED
+        server.stop()
+
+    play(scene())
+
+
 @pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
 def test_a_dial_under_way_to_a_server_that_leaves_is_ended(state: ServerState) -> None:
     # Guards rule 3: a slow dial would write its request after the grace.
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -609,6 +609,36 @@
     assert [each for each in stage.said(Log) if "ejected" in each.text] == []
 
 
+def test_late_answers_refuse_nobody_while_servers_report_idle_cores() -> None:
+    # Guards against own lag, silent connections and a few slow servers, all of which look like overload.
+    stage = Stage(settings())
+    stage.servers(names(4))
+    held: list[int] = []
+    for count in range(800):
+        stage.wait(20 * MS)
+        held.append(stage.request())
+        if len(held) > min(3 + count // 10, 30):  # in the end 600 ms each, at an aim of 500
+            stage.end(held.pop(0), report={"util": 0.2})
+    assert stage.balancer._mean_load > 20.0
+    assert stage.said(Refuse) == []
+
+
+def test_a_stall_is_seen_among_many_events_and_pardons_all_that_it_held_up() -> None:
+    stage = Stage(settings())
+    stage.servers(names(4))
+    stage.serve(200)
+    paces = {each.name: each.pace for each in stage.balancer._ready}
+    held = [stage.request() for _ in range(16)]
+    for _ in held:  # a long queue of events: each comes soon after the one before, and no timer between
+        stage.now += 40 * MS
+        stage.request()
+    for each in held:
+        stage.now += 5 * MS
+        stage.end(each, Outcome.DIAL_FAILED)
+    assert {each.name: each.pace for each in stage.balancer._ready} == paces
+    assert [each for each in stage.said(Log) if "ejected" in each.text] == []
+
+
 def test_servers_that_are_slow_while_the_balancer_is_awake_are_noticed() -> None:
     stage = Stage(settings())
     stage.servers(names(4))
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -1084,7 +1084,7 @@
         elif not attempt.felt and server.ejected_until is None:
             # Late already, though no answer says so yet: waiting for one would see a surge too late.
             attempt.felt = True
-            if self._cores is not None:
+            if self._cores is not None and silent:
                 self._cores += CORES_STEP * (1.0 - self._cores)  # no answer, no report: reports alone flatter
             self._feel(LOST_SPENT)
         enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
