--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -110,6 +110,7 @@
 LATE_STEP = 0.02  # of the last fifty answers or so
 CORES_BUSY = 0.85  # while servers report their cores less busy than this, there is room for more
 CORES_IDLE = 0.6  # cores this idle tell that late answers come from a few slow servers
+CORES_SPARE = 0.4  # and this idle tell so to a busy balancer too: more may be crowded before reports say so
 CORES_SATURATED = 0.95  # cores this busy tell of overload before late answers do
 UTIL_MOST = 2.0  # a report of more than noise can make of a share is junk
 CORES_STEP = 0.1  # of the last ten reports or so
@@ -565,7 +566,7 @@
         chance = (stretch - 1.0) / (STRETCH_MOST - 1.0)
         level = max(level, AIM_SPENT + chance * (AIM_SPENT_FEW - AIM_SPENT))
         excess = (self._spent - level) / level
-        if self._cores is not None and (stretch > 1.0 or self._cores < CORES_IDLE):
+        if self._cores is not None and (stretch > 1.0 or self._cores < CORES_SPARE):
             # Late answers from servers with idle cores tell of a few slow ones, of broken connections or of
             # this balancer's own lag, not of too many requests: refusing would only bring clients back.
             # Harm: overload that cores don't show.  Else a busy balancer goes by answers, which come sooner.
