--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -6,6 +6,7 @@
 import contextlib
 import errno
 import socket
+import time
 from typing import get_args
 
 import pytest
@@ -382,3 +383,27 @@
                 writer.close()
 
     play(scene())
+
+
+def test_new_connections_end_at_once_while_the_program_lags_under_many_and_are_taken_again_after() -> None:
+    async def scene() -> None:
+        async with world(lambda *_: None) as w:
+            address = w.sidecar.frontend.address
+            held = [await asyncio.open_connection(*address) for _ in range(40)]
+            for number, (_, writer) in enumerate(held):
+                writer.write(request(X_Call_Id=f"held-{number}"))
+            await until(lambda: len(w.sent()) == len(held))
+
+            def lags() -> bool:
+                time.sleep(0.15)  # longer than it takes to the next sweep
+                return w.sidecar.frontend._most_busy < 33
+
+            await until(lags)
+            reader, _ = await asyncio.open_connection(*address)
+            assert await is_closed(reader)
+            for _, writer in held:
+                writer.close()
+            await until(lambda: not w.sidecar.frontend._is_swamped())
+            assert (await ask(address, request(path="/health/ready")))[0] == 200
+
+    play(scene())
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -27,6 +27,10 @@
 _SWEEP_S = 0.1  # how often connections are looked at for their limits
 _YOUNG_S = 0.1  # a connection this new may have its request on the way: others make room first
 _TRIED_FOR_ROOM = 4  # connections that are looked at for one that can make room
+_LAG_MOST_S = 0.04  # a sweep later than this tells of more work than the CPU can do
+_LEAST_BUSY = 32  # connections that may carry requests, however late all is
+_BUSY_LESS = 0.8  # at each late sweep they may be this part of what they were
+_BUSY_MORE = 1.1  # and at each other one this many times as many
 _DROPPED_MOST = (
     128 * BODY_MOST
 )  # read and dropped of what comes after a rejection, so that its answer arrives
@@ -393,6 +397,8 @@
         self._most_at_rest = max(most // 3, 1)  # clients may keep for good what they will not use again
         # The connections of each phase and since when they are in it, the longest first; `_most` in all.
         self._phases: dict[Phase, dict[ClientConnection, float]] = {phase: {} for phase in Phase}
+        self._most_busy = float(most)  # connections that may carry requests: fewer while all is late
+        self._sweep_due = 0.0
         self._accepting = False
         self._starting: set[asyncio.Task[None]] = set()
         self._sock = socket.create_server(address, backlog=_BACKLOG)
@@ -405,7 +411,7 @@
 
     def start(self) -> None:
         self._accept_again()
-        asyncio.get_running_loop().call_later(_SWEEP_S, self._sweep)
+        self._sweep_later()
 
     def _accept_again(self) -> None:
         if not self._accepting and self._sock.fileno() >= 0:
@@ -433,8 +439,8 @@
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
                 return
-            if has_ended(sock):
-                sock.close()  # it waited for longer than its client did
+            if has_ended(sock) or self._is_swamped():  # ended: it waited for longer than its client did
+                sock.close()
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -484,7 +490,24 @@
                 if since + limit > loop.time():
                     break  # those behind it came later
                 connection.time_up()
-        loop.call_later(_SWEEP_S, self._sweep)
+        late = loop.time() > self._sweep_due + _LAG_MOST_S
+        self._most_busy *= _BUSY_LESS if late else _BUSY_MORE
+        self._most_busy = max(_LEAST_BUSY, min(self._most_busy, self._most))
+        self._sweep_later()
+
+    def _sweep_later(self) -> None:
+        self._sweep_due = asyncio.get_running_loop().time() + _SWEEP_S
+        asyncio.get_running_loop().call_at(self._sweep_due, self._sweep)
+
+    def _is_swamped(self) -> bool:
+        """Whether the CPU falls behind with the connections that carry requests.
+
+        Guards against answers that all come late: those served are served in time, and new connections end at
+        once, for a twentieth of what refusing a request costs.  Harm: a short pause of the machine under many
+        connections ends some too.
+        """
+        at_rest = len(self._phases[Phase.RESTING]) + len(self._phases[Phase.LEAVING])
+        return self._count() - at_rest >= self._most_busy
 
     def opened(self, connection: ClientConnection) -> None:
         self._phases[connection.phase][connection] = asyncio.get_running_loop().time()
