--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -467,6 +467,9 @@
     for spent in [0.5] * 8:
         balancer._feel(spent)
     assert balancer._window == float("inf")
+    for _ in range(4):
+        balancer._feel(2.0)  # a few late ones may be chance
+    assert balancer._window == float("inf")
     for _ in range(40):
         balancer._feel(2.0)  # nearly all late: that is overload, however new the balancer
     assert balancer._window < float("inf")
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -556,8 +556,8 @@
         let in less by themselves.  By Little's law, what is answered at this rate within the allowed level
         needs rate times time in flight; below that the window never shrinks, or late news would shut it.
         """
-        if self._now < self._sized_from and self._late < 4 * LATE_ALLOWED:
-            return  # every connection is new and the rates are not full yet: neither tells of overload
+        if self._now < self._sized_from and self._late < 10 * LATE_ALLOWED:
+            return  # every connection is new, the rates are not full: less than half late may be chance
         stretch = self._stretch()
         lapse = min(self._now - self._sized_at, stretch * self._longest_aim / 4)
         self._sized_at = self._now
