--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,9 +12,11 @@
 
 from helpers import KEYED, SAFE, UNSAFE, S, settings
 
-from topazbank.net.discovery import parse_list
-from topazbank.net.sidecar import Config, Sidecar
-from topazbank.net.upstream import Address
+from topazbank.core.driver import Config, Sidecar
+from topazbank.core.net import Address
+from topazbank.membership.registry import parse_list
+from topazbank.operator import Operator
+from topazbank.wiring import wire
 
 PATIENCE_S = 20.0  # for what must come; no test takes it as proof of anything
 
@@ -184,9 +186,8 @@
     await discovery.start()
     given = settings(**{"classes": CLASSES, "limits": LIMITS, **changes})
     known = parse_list({"index": 41, "snapshot": True, "endpoints": [each.entry() for each in servers]})
-    made = World(
-        Sidecar(Config(("127.0.0.1", 0), discovery.address, 7, sockets, given, known)), servers, discovery
-    )
+    config = Config(("127.0.0.1", 0), discovery.address, 7, sockets, given, known)
+    made = World(Sidecar(config, wire(Operator())), servers, discovery)
     running = asyncio.create_task(made.sidecar.run(made.stop))
     await until(lambda: made.sidecar._balancer._begun)
     try:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -15,7 +15,8 @@
 from hypothesis import settings as how
 from hypothesis import strategies as st
 
-from topazbank.wirehost import run, settings_from_wire
+from topazbank.wirehost import run
+from topazbank.wirenames import settings_from_wire
 
 BOOT: dict[str, Any] = {
     "bounds": {"sendCap": 3, "secondCopies": True, "mayCancel": True, "streamsPerConn": 1},
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 
 import pytest
-from helpers import S
+from helpers import S, settings
 from loopback import (
     LIMITS,
     PATIENCE_S,
@@ -23,18 +23,13 @@
     world,
 )
 
+from topazbank.core.call import Call, Response, Rulebook
+from topazbank.core.net import Address
+from topazbank.core.nodes import HTTP, Nodes, Slots
+from topazbank.core.reports import parse_report
+from topazbank.http.connection import HttpResponse, connect
+from topazbank.http.upstream import HttpCarrier, judge, write_request
 from topazbank.interface import Action, AttemptEnded, Event, Outcome, ServerState
-from topazbank.net.upstream import (
-    Address,
-    Exchange,
-    Order,
-    Response,
-    Upstream,
-    connect,
-    judge,
-    message,
-    parse_report,
-)
 
 
 def served(*_: object) -> bytes:
@@ -248,7 +243,7 @@
     async def scene() -> None:
         async with world(served) as w:
             assert (await w.ask(kind="pay", body=b"x"))[0] == 200
-            connection = w.sidecar._upstream._endpoints["s-0"].idle[0][0]
+            connection = w.sidecar._nodes.endpoints["s-0"].pool.idle[0][0]
             writer = w.servers[0].writers[0]
             if how == "end":
                 raw = writer.get_extra_info("socket")
@@ -272,7 +267,7 @@
         async with world(served, limits=limits) as w:
             assert (await w.ask())[0] == 200
             loop = asyncio.get_running_loop()
-            timer = w.sidecar._upstream._endpoints["s-0"].idle[0][1]
+            timer = w.sidecar._nodes.endpoints["s-0"].pool.idle[0][1]
             assert timer.when() - loop.time() < 0.95
             await until(lambda: w.servers[0].closed == 1)
 
@@ -298,23 +293,30 @@
 # -- The connections themselves
 
 
-async def outcome_of(upstream: Upstream, seconds: float = 5.0, body: bytes = b"") -> Outcome:
+def nodes_of(dial_limit_s: float, most: int = 10) -> Nodes:
+    nodes = Nodes(Slots(most), 4.0)
+    nodes.add(HTTP, HttpCarrier(dial_limit_s, 60.0, nodes.slots))
+    return nodes
+
+
+async def outcome_of(nodes: Nodes, seconds: float = 5.0, body: bytes = b"") -> Outcome:
     loop = asyncio.get_running_loop()
     ended: asyncio.Future[Outcome] = loop.create_future()
 
     def end(outcome: Outcome, _: Response | None) -> None:
         ended.set_result(outcome)  # a second outcome would raise here
 
-    upstream.send("s", order(body), loop.time() + seconds, end)
+    nodes.send("s", a_call(body), loop.time() + seconds, end)
     return await asyncio.wait_for(ended, PATIENCE_S)
 
 
-def order(body: bytes = b"") -> Order:
-    return lambda _: data(body)
+def a_call(body: bytes = b"") -> Call:
+    kind = Rulebook(settings()).kind("pay")
+    return Call("1", kind, b"/api/1", body, None, None, 5 * S, None, False, None, lambda _: None)
 
 
 def data(body: bytes = b"") -> bytes:
-    return message(b"POST / HTTP/1.1", [(b"Host", b"x"), (b"Content-Length", b"%d" % len(body))], body)
+    return write_request(a_call(body), 5.0)
 
 
 def test_a_break_before_the_last_byte_was_written_proves_that_it_never_ran() -> None:
@@ -323,7 +325,7 @@
         listener = socket.create_server(("127.0.0.1", 0))
         connection = await connect(listener.getsockname()[:2], 1024)
         other, _ = listener.accept()
-        ended: asyncio.Future[Response | None] = asyncio.get_running_loop().create_future()
+        ended: asyncio.Future[HttpResponse | None] = asyncio.get_running_loop().create_future()
         connection.request(data(body), ended.set_result)
         assert not connection.written
         other.close()  # with bytes unread: a reset
@@ -342,7 +344,7 @@
         connection = await connect(listener.getsockname()[:2], 1024)
         other, _ = listener.accept()
         reader, writer = await asyncio.open_connection(sock=other, limit=2**26)
-        ended: asyncio.Future[Response | None] = asyncio.get_running_loop().create_future()
+        ended: asyncio.Future[HttpResponse | None] = asyncio.get_running_loop().create_future()
         connection.request(data(body), ended.set_result)
         await reader.readuntil(b"\r\n\r\n")
         await reader.readexactly(len(body))
@@ -378,10 +380,10 @@
 ) -> None:
     async def scene() -> None:
         with deaf() as address:
-            upstream = Upstream(dial_limit, 60.0, 10)
-            upstream.update("s", address, None, ServerState.READY)
-            assert await outcome_of(upstream, seconds) is Outcome.DIAL_FAILED
-            await until(lambda: upstream._open == 0)
+            nodes = nodes_of(dial_limit, 10)
+            nodes.update("s", address, None, ServerState.READY)
+            assert await outcome_of(nodes, seconds) is Outcome.DIAL_FAILED
+            await until(lambda: nodes.slots.open == 0)
 
     play(scene())
 
@@ -390,10 +392,10 @@
     async def scene() -> None:
         server = FakeServer("s", served)
         await server.start()
-        upstream = Upstream(0.1, 60.0, 10)
-        upstream.update("s", server.address, None, ServerState.READY)
-        outcome = asyncio.create_task(outcome_of(upstream))
-        while not upstream._open:
+        nodes = nodes_of(0.1, 10)
+        nodes.update("s", server.address, None, ServerState.READY)
+        outcome = asyncio.create_task(outcome_of(nodes))
+        while not nodes.slots.open:
             await asyncio.sleep(0)
         await asyncio.sleep(0)  # now it is dialled
         time.sleep(0.5)
@@ -408,22 +410,22 @@
     # Guards rule 3: a slow dial would write its request after the grace.
     async def scene() -> None:
         with deaf() as address:
-            upstream = Upstream(30.0, 60.0, 10)
-            upstream.update("s", address, None, ServerState.READY)
-            sending = asyncio.create_task(outcome_of(upstream))
-            await until(lambda: upstream._open == 1)
-            upstream.update("s", address, None, state)
+            nodes = nodes_of(30.0, 10)
+            nodes.update("s", address, None, ServerState.READY)
+            sending = asyncio.create_task(outcome_of(nodes))
+            await until(lambda: nodes.slots.open == 1)
+            nodes.update("s", address, None, state)
             assert await sending is Outcome.DIAL_FAILED
-            await until(lambda: upstream._open == 0)
+            await until(lambda: nodes.slots.open == 0)
 
     play(scene())
 
 
 def test_an_attempt_whose_time_is_up_is_never_sent() -> None:
     async def scene() -> None:
-        upstream = Upstream(1.0, 60.0, 10)
-        upstream.update("s", ("127.0.0.1", 1), None, ServerState.READY)
-        assert await outcome_of(upstream, -1.0) is Outcome.UNSENT
+        nodes = nodes_of(1.0, 10)
+        nodes.update("s", ("127.0.0.1", 1), None, ServerState.READY)
+        assert await outcome_of(nodes, -1.0) is Outcome.UNSENT
 
     play(scene())
 
@@ -432,16 +434,16 @@
     async def scene() -> None:
         server = FakeServer("s", hung)
         await server.start()
-        upstream = Upstream(1.0, 60.0, 10)
-        upstream.update("s", server.address, None, ServerState.READY)
+        nodes = nodes_of(1.0, 10)
+        nodes.update("s", server.address, None, ServerState.READY)
         outcomes: list[Outcome] = []
         loop = asyncio.get_running_loop()
-        exchange: Exchange = upstream.send("s", order(), loop.time() + 30, lambda o, _: outcomes.append(o))
+        exchange = nodes.send("s", a_call(), loop.time() + 30, lambda o, _: outcomes.append(o))
         await until(lambda: server.requests)
-        upstream.cancel(exchange)
-        upstream.cancel(exchange)
+        exchange.cancel(final=False)
+        exchange.cancel(final=False)
         await until(lambda: server.closed == 1)
-        assert outcomes == [Outcome.CANCELLED] and upstream._open == 0
+        assert outcomes == [Outcome.CANCELLED] and nodes.slots.open == 0
         server.stop()
 
     play(scene())
@@ -451,17 +453,17 @@
     async def scene() -> None:
         server = FakeServer("s", served)
         await server.start()
-        upstream = Upstream(1.0, 60.0, 10)
-        upstream.update("s", server.address, None, ServerState.READY)
-        assert await outcome_of(upstream) is Outcome.DELIVERED
-        upstream.update("s", server.address, 5, ServerState.READY)
+        nodes = nodes_of(1.0, 10)
+        nodes.update("s", server.address, None, ServerState.READY)
+        assert await outcome_of(nodes) is Outcome.DELIVERED
+        nodes.update("s", server.address, 5, ServerState.READY)
         await until(lambda: server.closed == 1)
-        assert await outcome_of(upstream) is Outcome.DELIVERED
+        assert await outcome_of(nodes) is Outcome.DELIVERED
         assert len(server.writers) == 2
         other = FakeServer("s", served)
         await other.start()
-        upstream.update("s", other.address, 5, ServerState.READY)
-        assert await outcome_of(upstream) is Outcome.DELIVERED
+        nodes.update("s", other.address, 5, ServerState.READY)
+        assert await outcome_of(nodes) is Outcome.DELIVERED
         assert len(other.requests) == 1
         server.stop()
         other.stop()
@@ -473,17 +475,17 @@
     # Guards the descriptors: an idle connection elsewhere makes room, one in use does not.
     async def scene() -> None:
         servers = [FakeServer("a", served), FakeServer("s", hung)]
-        upstream = Upstream(1.0, 60.0, 1)
+        nodes = nodes_of(1.0, 1)
         for each in servers:
             await each.start()
-            upstream.update(each.name, each.address, None, ServerState.READY)
+            nodes.update(each.name, each.address, None, ServerState.READY)
         loop = asyncio.get_running_loop()
         ended: list[Outcome] = []
-        upstream.send("a", order(), loop.time() + 30, lambda o, _: ended.append(o))
+        nodes.send("a", a_call(), loop.time() + 30, lambda o, _: ended.append(o))
         await until(lambda: ended)
-        upstream.send("s", order(), loop.time() + 30, lambda o, _: ended.append(o))
+        nodes.send("s", a_call(), loop.time() + 30, lambda o, _: ended.append(o))
         await until(lambda: servers[1].requests)
-        assert await outcome_of(upstream) is Outcome.DIAL_FAILED
+        assert await outcome_of(nodes) is Outcome.DIAL_FAILED
         for each in servers:
             each.stop()
 
@@ -514,11 +516,11 @@
         limits = {"max_attempts": 3, "may_cancel": False, "dial_timeout_us": 600 * S}
         with deaf() as address:
             async with world(served, limits=limits) as w:
-                w.sidecar._upstream.update("s-0", address, None, ServerState.READY)
+                w.sidecar._nodes.update("s-0", address, None, ServerState.READY)
                 _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
                 writer.write(request("pay", body=b"x", budget="600"))
-                await until(lambda: w.sidecar._upstream._open == 1)
+                await until(lambda: w.sidecar._nodes.slots.open == 1)
                 writer.close()
-                await until(lambda: not w.sidecar._live and not w.sidecar._upstream._open)
+                await until(lambda: not w.sidecar._live and not w.sidecar._nodes.slots.open)
 
     play(scene())
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -14,8 +14,10 @@
 from loopback import CLASSES, PATIENCE_S, answer, ask, is_closed, play, read_answer, request, until, world
 
 from topazbank import balancer
+from topazbank.core.call import Answer, Hooks, Rulebook, Verdict
+from topazbank.core.listener import ClientConnection, Frontend
+from topazbank.http.front import HttpConnection
 from topazbank.interface import Action, Event, Refuse, RequestArrived
-from topazbank.net.frontend import ClientConnection, Frontend, Hooks
 
 
 def served(*_: object) -> bytes:
@@ -159,7 +161,7 @@
 def test_a_defect_in_carrying_out_fails_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
         async with world(served) as w:
-            monkeypatch.setattr(w.sidecar._upstream, "send", None)
+            monkeypatch.setattr(w.sidecar._nodes, "send", None)
             assert (await w.ask(kind="pay", body=b"x"))[0] == 500
             monkeypatch.undo()
             assert (await w.ask())[0] == 200
@@ -218,10 +220,10 @@
             return self.real.fileno()
 
     async def scene() -> None:
-        hooks = Hooks(
-            lambda call: call.answer(200, [], b"taken"), lambda _: None, lambda _: False, lambda: True
-        )
-        frontend = Frontend(("127.0.0.1", 0), 5, hooks, settings(classes=CLASSES))
+        taken = Answer(Verdict.SERVED, b"taken")
+        hooks = Hooks(lambda call: call.answer(taken), lambda _: None, lambda _: False, lambda: True)
+        rules = Rulebook(settings(classes=CLASSES))
+        frontend = Frontend(("127.0.0.1", 0), 5, hooks, rules, HttpConnection)
         real = frontend._sock
         frontend._sock = Lacking(real)  # type: ignore[assignment]
         frontend.start()
--- /dev/null
+++ b/topazbank/config.py
@@ -0,0 +1,55 @@
+"""What the platform tells a sidecar: its environment and its configuration file."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from topazbank.core.driver import Config
+from topazbank.core.members import Told
+from topazbank.core.net import Address, parse_address
+from topazbank.membership.registry import parse_list
+from topazbank.wirenames import settings_from_wire
+
+BAD_CONFIG = (OSError, ValueError, RecursionError)  # what reading one may raise
+_SOCKETS = 1024  # unless the configuration tells
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    """Read what the sidecar is told; raise ValueError or OSError, saying what is wrong."""
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise ValueError("RELAY_CONFIG names no file")
+    with open(path, encoding="utf-8") as file:
+        given = json.load(file)
+    if not isinstance(given, dict):
+        raise ValueError("an object is needed")
+    known = given.get("known")
+    return Config(
+        listen=_address(environ.get("RELAY_LISTEN") or given.get("listen"), "listen"),
+        discovery=_address(given.get("discovery") or environ.get("RELAY_DISCOVERY"), "discovery"),
+        seed=_seed(given.get("seed", "0")),
+        sockets=_sockets(given.get("limits")),
+        settings=settings_from_wire(given.get("settings")),
+        known=Told(0, True, []) if known is None else parse_list(known),
+    )
+
+
+def _address(value: Any, name: str) -> Address:
+    if not isinstance(value, str):
+        raise ValueError(f"{name}: an address is needed")
+    return parse_address(value)
+
+
+def _seed(value: Any) -> int:
+    if isinstance(value, str):
+        return int(value, 16)
+    raise ValueError("seed: hex digits are needed")
+
+
+def _sockets(limits: Any) -> int:
+    value = limits.get("sockets", _SOCKETS) if isinstance(limits, dict) else _SOCKETS
+    if type(value) is not int or value < 1:
+        raise ValueError("limits.sockets: a whole number is needed")
+    return value
--- /dev/null
+++ b/topazbank/core/call.py
@@ -0,0 +1,155 @@
+"""What passes between fronts, driver and carriers; none of it knows a protocol.
+
+A front makes a `Call` of a client's bytes and turns its one `Answer` into bytes.  A carrier makes bytes of a call
+for a node and turns what happened into one `Outcome`, with the node's `Response` where there was one.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from enum import Enum, auto, unique
+
+from topazbank.interface import Outcome, Repeat, ServiceClass, Settings
+
+Headers = list[tuple[bytes, bytes]]
+
+BODY_MOST = 64 * 1024  # bytes of a request's or an answer's body, as the platform's protocol has it
+IDENT_MOST = 256  # characters of a call's id, tenant or idempotency key; longer ones fill tables and logs
+OVER_DEADLINE = 1.1  # a budget may exceed its class's deadline by rounding, no more
+API_PATH = b"/api"
+_TARGET_MOST = 8 * 1024  # bytes of path and query: what servers take of a request's first line
+_TARGET = re.compile(rb"[!-~]+")  # visible ASCII: a space or a control would end the first line early
+_VISIBLE = re.compile(r"[!-~]+")
+
+
+class BadCall(Exception):
+    """What can't be taken from a client; the status, HTTP's where there is one, tells why."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@unique
+class Verdict(Enum):
+    """What a final answer says."""
+
+    SERVED = auto()  # a node's own answer to this request
+    REFUSED = auto()  # trying again is harmless
+    FAILED = auto()  # nothing is promised
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer of a call."""
+
+    verdict: Verdict
+    body: bytes = b""
+    about: Headers | None = None  # what a node said of its body: content-type, content-encoding
+    retry_after_us: int = 0  # with REFUSED: when to come back; 0 where nothing is advised
+
+
+FAILED = Answer(Verdict.FAILED)
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A client's request, whatever it came in; it is answered once."""
+
+    ident: str
+    kind: ServiceClass
+    target: bytes  # path and query, as HTTP has them
+    body: bytes
+    tenant: str | None  # None where the settings name no tenants
+    key: int | None
+    budget_us: int  # that the client still waits, from when it sent the request
+    cost_us: int | None
+    again: bool  # marked by the client as a retry
+    idempotency_key: str | None
+    answer: Callable[[Answer], None]
+    caller: str | None = None  # the tenant's name as given
+    about: Headers | None = None  # of the body: content-type, content-encoding
+    headers: Headers | None = (
+        None  # from an HTTP front: the request's end-to-end headers, which go on unchanged
+    )
+
+
+@dataclass(slots=True)
+class Response:
+    """A node's whole answer to an attempt."""
+
+    body: bytes
+    about: Headers | None = None
+    report: Mapping[str, float] | None = None  # its load report, of the columns that the settings name
+
+
+Ended = Callable[[Outcome, Response | None], None]  # hears an attempt's outcome, exactly once
+
+
+@dataclass(slots=True)
+class Hooks:
+    """What a front asks of the driver."""
+
+    taken: Callable[[Call], None]
+    gone: Callable[[Call], None]
+    is_out: Callable[[str], bool]  # whether a request with this id is unanswered, or an attempt of it out
+    ready: Callable[[], bool]
+
+
+class Rulebook:
+    """What the settings say of calls, looked up by name; every front checks against it."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.classes = {each.name: each for each in settings.classes}
+        self._tenants = frozenset(each.name for each in settings.tenants)
+
+    def kind(self, name: str) -> ServiceClass:
+        kind = self.classes.get(name)
+        if kind is None:
+            raise BadCall(400, "x-call-class is not known")
+        return kind
+
+    def tenant(self, caller: str | None) -> str | None:
+        """Where the settings name tenants only these may ask; else nothing is made of the name."""
+        if not self._tenants or caller is None:
+            return None
+        if caller not in self._tenants:
+            raise BadCall(400, "x-caller is not known")
+        return caller
+
+    @staticmethod
+    def check(call: Call) -> None:
+        """What a class says of its requests: how they come, and how long they may take."""
+        if len(call.ident) > IDENT_MOST:
+            raise BadCall(400, "x-call-id is too long")
+        if call.kind.repeat is Repeat.SAFE and call.body:
+            raise BadCall(400, "a body belongs to no request that is safe to repeat")
+        if call.kind.repeat is Repeat.KEYED and not call.idempotency_key:
+            raise BadCall(400, "idempotency-key is missing")  # servers could not drop its repeats
+        if call.budget_us > OVER_DEADLINE * call.kind.deadline_us:
+            raise BadCall(400, "x-budget is longer than the deadline of the class")
+
+
+def is_visible(text: str) -> bool:
+    """Whether a text may stand in any protocol's envelope: it has no space, no control and an end in sight."""
+    return 0 < len(text) <= IDENT_MOST and _VISIBLE.fullmatch(text) is not None
+
+
+def is_target(target: bytes) -> bool:
+    """Whether this is a path (and query) of the application's own."""
+    path = target.partition(b"?")[0]
+    ours = path == API_PATH or path.startswith(API_PATH + b"/")
+    return ours and len(target) <= _TARGET_MOST and _TARGET.fullmatch(target) is not None
+
+
+def target_key(target: bytes) -> int | None:
+    """What the request is about: the last part of the path as a number, whatever it is made of."""
+    last = target.partition(b"?")[0].removeprefix(API_PATH).rpartition(b"/")[2]
+    if not last:
+        return None
+    try:
+        return int(last, 16)
+    except ValueError:
+        return int.from_bytes(last, "big")
--- a/topazbank/net/sidecar.py
+++ b/topazbank/core/driver.py
@@ -11,12 +11,17 @@
 import logging
 import time
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
 from topazbank.balancer import Balancer
+from topazbank.core.call import FAILED, Answer, Call, Hooks, Response, Rulebook, Verdict
+from topazbank.core.listener import Frontend, Speaks
+from topazbank.core.members import Dialects, Listed, Source, Told
+from topazbank.core.net import Address
+from topazbank.core.nodes import HTTP, Attempt, Carrier, Nodes, Slots
 from topazbank.interface import (
     Action,
     AttemptEnded,
@@ -33,7 +38,6 @@
     Probe,
     ProbeEnded,
     Refuse,
-    ReportSource,
     RequestArrived,
     RequestGone,
     Send,
@@ -44,10 +48,6 @@
     TimerFired,
 )
 from topazbank.interface import Discovery as DiscoveryMode
-from topazbank.net import upstream
-from topazbank.net.discovery import Discovery, Told
-from topazbank.net.frontend import Call, Frontend, Hooks
-from topazbank.net.upstream import Address, Exchange, Headers, Response
 
 log = logging.getLogger(__name__)
 
@@ -58,7 +58,7 @@
 _LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
 _LAG_TOLD_S = 0.05  # and from when on it is logged
 _PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
-_ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
+_PROBE_DIALS = 4.0  # a probe may take this many dial time limits
 _FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
 
 
@@ -85,7 +85,7 @@
     answer_by: int
     answered: bool = False
     sent: int = 0  # attempts so far
-    out: dict[int, Exchange | None] = field(default_factory=dict)  # those that have not ended, by number
+    out: dict[int, Attempt | None] = field(default_factory=dict)  # those that have not ended, by number
     backstop: asyncio.TimerHandle | None = None
 
 
@@ -101,10 +101,21 @@
     known: Told
 
 
+@dataclass(frozen=True, slots=True)
+class Wiring:
+    """The protocols that a sidecar speaks: what makes its clients' connections, and its carriers by name."""
+
+    text: Speaks
+    binary: Speaks | None
+    carriers: Callable[[Settings, Slots], Mapping[str, Carrier]]
+    source: Callable[[Config, Callable[[Told | None], None]], Source]
+    dialects: Dialects = field(default_factory=Dialects)
+
+
 class Sidecar:
     """One sidecar: a balancer and the sockets round it."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, wiring: Wiring) -> None:
         self._settings = settings = config.settings
         self._clock = Clock()
         self._balancer = Balancer(settings, config.seed)
@@ -115,12 +126,14 @@
         self._events: deque[Event] = deque()
         self._handling = False
         half = max((config.sockets - _FDS_KEPT) // 2, 1)
-        limits = settings.limits
-        self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
+        self._nodes = Nodes(Slots(half), _PROBE_DIALS * settings.limits.dial_timeout_us / 1e6)
+        for protocol, carrier in wiring.carriers(settings, self._nodes.slots).items():
+            self._nodes.add(protocol, carrier)
         self._known = config.known
-        self._discovery = Discovery(config.discovery, config.known.version, self._told)
+        self._dialects = wiring.dialects
+        self._discovery = wiring.source(config, self._told)
         hooks = Hooks(self._taken, self._gone, self._out.__contains__, self._is_ready)
-        self.frontend = Frontend(config.listen, half, hooks, settings)
+        self.frontend = Frontend(config.listen, half, hooks, Rulebook(settings), wiring.text, wiring.binary)
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
             Refuse: self._refuse,
@@ -128,7 +141,7 @@
             Cancel: self._cancel,
             SetTimer: self._set_timer,
             Probe: self._probe,
-            CloseIdle: lambda action: self._upstream.close_idle(action.server),
+            CloseIdle: lambda action: self._nodes.close_idle(action.server),
             Follow: lambda action: self._discovery.follow(action.wanted),
             FetchList: lambda _: self._discovery.fetch(),
             Log: lambda action: log.info("%s", action.text),
@@ -147,7 +160,7 @@
         await self._drain()
         lag.cancel()
         self._discovery.stop()
-        await self._upstream.close()
+        await self._nodes.close()
 
     def move_discovery(self, address: Address) -> None:
         """Go on with discovery at another address; also where it is the same, asked for by name."""
@@ -169,7 +182,7 @@
             await asyncio.sleep(_DRAIN_STEP_S)
             self.frontend.close_idle(used=loop.time() < began + _LINGER_S)
         for live in list(self._by_call.values()):
-            self._answer(live, 500, [], b"")
+            self._answer(live, FAILED)
         log.info("drained")
 
     async def _watch_lag(self) -> None:
@@ -216,10 +229,10 @@
         """Guards against a defect that would leave its request unanswered: it fails."""
         live = self._live.get(ident) if ident is not None else None
         if live is not None:
-            self._answer(live, 500, [], b"")
+            self._answer(live, FAILED)
             for attempt in list(live.out.values()):
                 if attempt is not None:
-                    self._upstream.cancel(attempt)
+                    attempt.cancel(final=True)
 
     # -- Requests -------------------------------------------------------------------------------------
 
@@ -232,7 +245,7 @@
         self.handle(
             RequestArrived(
                 live.ident,
-                call.service_class,
+                call.kind.name,
                 call.tenant,
                 call.key,
                 call.budget_us,
@@ -247,11 +260,11 @@
             self._mark_answered(live)
             self.handle(RequestGone(live.ident))
 
-    def _answer(self, live: Live, status: int, headers: Headers, body: bytes) -> None:
+    def _answer(self, live: Live, answer: Answer) -> None:
         if live.answered:
             return
         self._mark_answered(live)
-        live.call.answer(status, headers, body)
+        live.call.answer(answer)
 
     def _mark_answered(self, live: Live) -> None:
         live.answered = True
@@ -260,7 +273,7 @@
             live.backstop.cancel()
         for attempt in list(live.out.values()):
             if attempt is not None:
-                self._upstream.unsend(attempt)  # nothing is sent for a request that is over
+                attempt.unsend()  # nothing is sent for a request that is over
         self._forget_if_over(live)
 
     def _forget_if_over(self, live: Live) -> None:
@@ -271,15 +284,12 @@
     def _refuse(self, action: Refuse) -> None:
         live = self._live.get(action.request)
         if live is not None:
-            wait = (
-                [(b"Retry-After", b"%.3f" % (action.retry_after_us / 1e6))] if action.retry_after_us else []
-            )
-            self._answer(live, 503, wait, b"")
+            self._answer(live, Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
 
     def _fail(self, action: Fail) -> None:
         live = self._live.get(action.request)
         if live is not None:
-            self._answer(live, 500, [], b"")
+            self._answer(live, FAILED)
 
     # -- Attempts -------------------------------------------------------------------------------------
 
@@ -293,16 +303,16 @@
             return
         live.sent += 1
         live.out[index] = None
-        until = self._clock.on_loop(min(action.until or live.answer_by, live.answer_by))
+        last = not 0 < action.until < live.answer_by
+        until = self._clock.on_loop(live.answer_by if last else action.until)
         ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
-        order = partial(_request, live.call)
         try:
-            exchange = self._upstream.send(action.server, order, until, ended)
+            attempt = self._nodes.send(action.server, live.call, until, ended, last=last)
         except Exception:
             ended(Outcome.DROPPED, None)  # a defect; nobody knows how far it went
             raise
         if index in live.out:
-            live.out[index] = exchange
+            live.out[index] = attempt
 
     def _attempt_ended(
         self, live: Live, index: int, server: str, sent_at: int, outcome: Outcome, response: Response | None
@@ -311,33 +321,23 @@
             return
         del live.out[index]
         if outcome is Outcome.DELIVERED and response is not None:
-            about_body = [each for each in response.headers if each[0] in _ABOUT_BODY]
-            self._answer(live, 200, about_body, response.body)
+            self._answer(live, Answer(Verdict.SERVED, response.body, response.about))
         elapsed = self._clock.now() - sent_at
-        report = self._report(response)
+        report = response.report if response is not None else None
         self._forget_if_over(live)
         self.handle(AttemptEnded(live.ident, index, server, outcome, elapsed, live.answered, report))
 
-    def _report(self, response: Response | None) -> dict[str, float] | None:
-        if response is None:
-            return None
-        return upstream.parse_report(response.header(b"x-load-report"), self._settings.report_columns)
-
     def _cancel(self, action: Cancel) -> None:
         live = self._live.get(action.request)
         attempt = live.out.get(action.attempt) if live is not None else None
         if attempt is not None:
-            self._upstream.cancel(attempt)
+            attempt.cancel(final=live is not None and live.answered)
 
     def _probe(self, action: Probe) -> None:
-        reports = self._settings.report_source is not ReportSource.SILENT
-        ended = partial(self._probed, action.server, self._clock.now())
-        self._upstream.probe(action.server, "/stats" if reports else "/health/live", ended)
+        self._nodes.probe(action.server, partial(self._probed, action.server, self._clock.now()))
 
     def _probed(self, server: str, sent_at: int, outcome: Outcome, response: Response | None) -> None:
-        report = None
-        if response is not None and outcome is Outcome.DELIVERED:
-            report = upstream.parse_probe(response.body, self._settings.report_columns)
+        report = response.report if response is not None else None
         self.handle(ProbeEnded(server, outcome, self._clock.now() - sent_at, report))
 
     # -- Timers and the list --------------------------------------------------------------------------
@@ -355,21 +355,25 @@
 
     def _list(self, kind: ListKind, told: Told) -> None:
         """Note the addresses first: the balancer may send on hearing of a server."""
+        protocols = [self._protocol(line) for line in told.lines]
         if kind is not ListKind.CHANGES:
-            self._upstream.retain({line.server.server for line in told.lines})
-        for line in told.lines:
+            self._nodes.retain({line.server.server for line in told.lines})
+        for line, protocol in zip(told.lines, protocols, strict=True):
             server = line.server
-            self._upstream.update(server.server, line.address, server.started_at, server.state)
+            self._nodes.update(server.server, line.address, server.started_at, server.state, protocol)
         servers = [line.server for line in told.lines]
-        servers += [ListedServer(name, state=ServerState.GONE) for name in self._upstream.displace()]
+        servers += [ListedServer(name, state=ServerState.GONE) for name in self._nodes.displace()]
         self.handle(ServersListed(kind, servers, told.version))
 
-
-def _request(call: Call, left_s: float) -> bytes:
-    """What an attempt sends: the application's request, with the time that is left for it."""
-    headers = [*call.headers, (b"X-Budget", b"%.6f" % left_s)]
-    if not any(name == b"host" for name, _ in headers):
-        headers.append((b"Host", b"sidecar"))  # HTTP/1.0 allows none, HTTP/1.1 needs one
-    if call.body or call.method not in (b"GET", b"HEAD"):
-        headers.append((b"Content-Length", str(len(call.body)).encode()))
-    return upstream.message(b"%b %b HTTP/1.1" % (call.method, call.target), headers, call.body)
+    def _protocol(self, line: Listed) -> str:
+        """What a node speaks; one that nothing here can speak to takes nothing new."""
+        protocol = self._dialects.of(line)
+        if self._nodes.speaks(protocol):
+            return protocol
+        server = line.server
+        log.warning(
+            "%s speaks %.40r, which is not spoken here: nothing new goes there", server.server, protocol
+        )
+        if server.state is ServerState.READY:
+            server.state = ServerState.DRAINING
+        return HTTP
--- /dev/null
+++ b/topazbank/core/listener.py
@@ -0,0 +1,285 @@
+"""The clients' side, whatever they speak: one listener, its connections and their limits.
+
+A connection's first byte tells its protocol.  An HTTP request begins with a letter; a MessagePack-RPC message is
+an array, whose first byte is 0x80 or more.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import socket
+from collections.abc import Callable
+from enum import Enum, auto
+
+from topazbank.core.call import Hooks, Rulebook
+from topazbank.core.net import Address, Reader, has_ended, is_quiet
+
+log = logging.getLogger(__name__)
+
+_BACKLOG = 512
+_ACCEPTED_AT_ONCE = 64  # connections, before others are looked at again
+_ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
+_SWEEP_S = 0.1  # how often connections are looked at for their limits
+_YOUNG_S = 0.1  # a connection this new may have its request on the way: others make room first
+_TRIED_FOR_ROOM = 4  # connections that are looked at for one that can make room
+_LAG_MOST_S = 0.04  # a sweep later than this tells of more work than the CPU can do
+_LEAST_BUSY = 32  # connections that may carry requests, however late all is
+_BUSY_LESS = 0.8  # at each late sweep they may be this part of what they were
+_BUSY_MORE = 1.1  # and at each other one this many times as many
+_BINARY = 0x80  # first bytes from here on are MessagePack's arrays; no HTTP method has one
+
+
+class Phase(Enum):
+    """What a client's connection is about; each phase but OPEN has a limit."""
+
+    WAITING = auto()  # it is new, or a request has begun to come
+    OPEN = auto()  # a request is held; the driver answers it in its time
+    BEHIND = auto()  # the same, and half a request waits behind it
+    RESTING = auto()  # it has carried requests, and nothing comes
+    KEPT = auto()  # the same, of a protocol whose clients hold on to their connections
+    LEAVING = auto()  # its last answer is still being taken
+
+
+LIMITS_S = {Phase.WAITING: 2.0, Phase.BEHIND: 2.0, Phase.RESTING: 2.0, Phase.KEPT: 60.0, Phase.LEAVING: 1.0}
+_AT_REST = (Phase.RESTING, Phase.KEPT)
+
+
+class ClientConnection(Reader):
+    """One connection of a client; what it speaks is in the class made of this one."""
+
+    phase = Phase.WAITING
+
+    def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
+        self._frontend = frontend
+        self._sock = sock
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._frontend.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._frontend.lost(self)
+
+    def is_quiet(self) -> bool:
+        """Whether nothing has come that is not read yet."""
+        return is_quiet(self._sock)
+
+    def is_idle(self) -> bool:
+        """Whether it may be closed: no request is held, begun or waiting unread."""
+        return self.phase in (Phase.WAITING, *_AT_REST) and self.is_quiet()
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def time_up(self) -> None:
+        """Its phase has lasted for as long as it may."""
+        raise NotImplementedError
+
+
+Speaks = Callable[["Frontend", socket.socket], ClientConnection]
+
+
+class Undecided(ClientConnection):
+    """A connection whose first byte has not come: it becomes what that byte tells."""
+
+    def data_received(self, data: bytes) -> None:
+        transport = self._transport
+        assert transport is not None
+        chosen = self._frontend.speaks(data[0])(self._frontend, self._sock)
+        self._frontend.lost(self)
+        transport.set_protocol(chosen)
+        chosen.connection_made(transport)
+        chosen.data_received(data)
+
+    def time_up(self) -> None:
+        if self.is_idle():
+            self.close()
+
+
+class Frontend:
+    """Listens for the application, within a bound on its connections."""
+
+    def __init__(
+        self,
+        address: Address,
+        most: int,
+        hooks: Hooks,
+        rules: Rulebook,
+        text: Speaks,
+        binary: Speaks | None = None,
+    ) -> None:
+        """`text` makes the connections that begin with a letter, `binary` the others; with none all are text."""
+        self.hooks = hooks
+        self.rules = rules
+        self._text = text
+        self._binary = binary
+        self.draining = False
+        self._most = most
+        self._most_at_rest = max(most // 3, 1)  # clients may keep for good what they will not use again
+        # The connections of each phase and since when they are in it, the longest first; `_most` in all.
+        self._phases: dict[Phase, dict[ClientConnection, float]] = {phase: {} for phase in Phase}
+        self._most_busy = float(most)  # connections that may carry requests: fewer while all is late
+        self._sweep_due = 0.0
+        self._accepting = False
+        self._starting: set[asyncio.Task[None]] = set()
+        self._sock = socket.create_server(address, backlog=_BACKLOG)
+        self._sock.setblocking(False)
+        self.address: Address = self._sock.getsockname()[:2]
+
+    @property
+    def connections(self) -> list[ClientConnection]:
+        return [each for phase in self._phases.values() for each in phase]
+
+    def speaks(self, first: int) -> Speaks:
+        """What a connection that begins with this byte speaks."""
+        return self._binary if self._binary is not None and first >= _BINARY else self._text
+
+    def start(self) -> None:
+        self._accept_again()
+        self._sweep_later()
+
+    def _accept_again(self) -> None:
+        if not self._accepting and self._sock.fileno() >= 0:
+            self._accepting = True
+            asyncio.get_running_loop().add_reader(self._sock, self._accept)
+
+    def _pause(self) -> None:
+        """Leave new connections to the kernel's queue for now."""
+        self._accepting = False
+        asyncio.get_running_loop().remove_reader(self._sock)
+
+    def _accept(self, at_once: int = _ACCEPTED_AT_ONCE) -> None:
+        """Take the connections that wait."""
+        for _ in range(at_once):
+            if self._count() >= self._most and not self._make_room():
+                self._pause()
+                asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
+                return
+            try:
+                sock, _ = self._sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as fault:
+                log.error("accept: %s", fault)
+                self._pause()
+                asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
+                return
+            if has_ended(sock) or self._is_swamped():  # ended: it waited for longer than its client did
+                sock.close()
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            task = asyncio.get_running_loop().create_task(self._begin(sock))
+            self._starting.add(task)
+            task.add_done_callback(self._starting.discard)
+
+    async def _begin(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            loop = asyncio.get_running_loop()
+            speaks = self._text if self._binary is None else Undecided
+            await loop.connect_accepted_socket(lambda: speaks(self, sock), sock)
+
+    def _count(self) -> int:
+        return sum(map(len, self._phases.values())) + len(self._starting)
+
+    def _make_room(self) -> bool:
+        """End a connection that holds no request.
+
+        First those that were told their last, then those that say nothing, then the longest at rest.  What is
+        new is spared while there are others: it was opened for a request that may be on its way.
+        """
+        grown = asyncio.get_running_loop().time() - _YOUNG_S
+        chosen = (
+            next(iter(self._phases[Phase.LEAVING]), None)
+            or self._quiet(Phase.WAITING, grown)
+            or self._quiet(Phase.RESTING)
+            or self._quiet(Phase.KEPT)
+            or self._quiet(Phase.WAITING)
+        )
+        if chosen is None:
+            return False
+        self.lost(chosen)
+        chosen.abort()
+        return True
+
+    def _quiet(self, phase: Phase, before: float = float("inf")) -> ClientConnection | None:
+        """The longest in a phase, and since before this time, that has sent nothing which is still unread."""
+        for _, (connection, since) in zip(range(_TRIED_FOR_ROOM), self._phases[phase].items(), strict=False):
+            if since < before and connection.is_quiet():
+                return connection
+        return None
+
+    def _sweep(self) -> None:
+        """End what has passed the limit of its phase."""
+        loop = asyncio.get_running_loop()
+        for phase, limit in LIMITS_S.items():
+            for connection, since in list(self._phases[phase].items()):
+                if since + limit > loop.time():
+                    break  # those behind it came later
+                connection.time_up()
+        late = loop.time() > self._sweep_due + _LAG_MOST_S
+        self._most_busy *= _BUSY_LESS if late else _BUSY_MORE
+        self._most_busy = max(_LEAST_BUSY, min(self._most_busy, self._most))
+        self._sweep_later()
+
+    def _sweep_later(self) -> None:
+        self._sweep_due = asyncio.get_running_loop().time() + _SWEEP_S
+        asyncio.get_running_loop().call_at(self._sweep_due, self._sweep)
+
+    def _is_swamped(self) -> bool:
+        """Whether the CPU falls behind with the connections that carry requests.
+
+        Guards against answers that all come late: those served are served in time, and new connections end at
+        once, for a twentieth of what refusing a request costs.  Harm: a short pause of the machine under many
+        connections ends some too.
+        """
+        at_rest = sum(len(self._phases[phase]) for phase in (*_AT_REST, Phase.LEAVING))
+        return self._count() - at_rest >= self._most_busy
+
+    def opened(self, connection: ClientConnection) -> None:
+        self._phases[connection.phase][connection] = asyncio.get_running_loop().time()
+
+    def move(self, connection: ClientConnection, phase: Phase) -> None:
+        """Note a connection's phase; one that it is in already goes on."""
+        if connection.phase is not phase and self._phases[connection.phase].pop(connection, None) is not None:
+            connection.phase = phase
+            self.opened(connection)
+            if phase in _AT_REST and len(self._phases[phase]) > self._most_at_rest:
+                oldest = self._quiet(phase)
+                if oldest is not None and oldest.is_idle():
+                    self.lost(oldest)
+                    oldest.close()
+
+    def lost(self, connection: ClientConnection) -> None:
+        self._phases[connection.phase].pop(connection, None)
+
+    def drain(self) -> None:
+        """Close what is at rest while new connections are still taken: a request that crosses comes again."""
+        self.draining = True
+        self.close_idle(used=True)
+
+    def close_idle(self, used: bool) -> None:
+        """Close what is at rest; with `used`, not what was just opened for a request still on its way."""
+        for connection in self.connections:
+            if connection.is_idle() and (connection.phase in _AT_REST or not used):
+                connection.close()
+
+    def stop(self) -> None:
+        """Take what waits, then listen no more."""
+        if self._sock.fileno() >= 0:
+            self._accept(_BACKLOG)
+            if self._accepting:
+                self._pause()
+            self._sock.close()
+
+    def is_empty(self) -> bool:
+        return not self._count()
--- /dev/null
+++ b/topazbank/core/members.py
@@ -0,0 +1,57 @@
+"""What a membership source tells the driver, and what it must offer."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from topazbank.core.net import Address
+from topazbank.core.nodes import HTTP
+from topazbank.interface import ListedServer
+
+
+@dataclass(slots=True)
+class Listed:
+    """A line of the list, with the address that the node has for this sidecar."""
+
+    server: ListedServer
+    address: Address | None
+    protocol: str | None = None  # what it speaks; None where the entry does not say
+
+
+@dataclass(slots=True)
+class Told:
+    """What a source answered."""
+
+    version: int
+    complete: bool
+    lines: list[Listed]
+
+
+class Source(Protocol):
+    """A membership source; it tells each list, or None for a call that failed, to whoever made it."""
+
+    def follow(self, wanted: bool) -> None:
+        """Begin to tell changes, or end that; what is under way goes on."""
+
+    def fetch(self) -> None:
+        """Ask once for the whole list."""
+
+    def move(self, address: Address) -> None:
+        """Go on at another place, with a whole list first."""
+
+    def stop(self) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Dialects:
+    """Which protocol a node speaks: its entry's word, else its pod's, else the installation's default."""
+
+    default: str = HTTP
+    pods: Mapping[int, str] = field(default_factory=dict)
+
+    def of(self, line: Listed) -> str:
+        if line.protocol is not None:
+            return line.protocol
+        return self.pods.get(line.server.cell, self.default)
--- /dev/null
+++ b/topazbank/core/nodes.py
@@ -0,0 +1,216 @@
+"""The nodes that the list holds, and which carrier speaks to each; what happened to an attempt is its `Outcome`."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Collection
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from topazbank.core.call import Call, Ended, Response
+from topazbank.core.net import Address
+from topazbank.interface import Outcome, ServerState
+
+log = logging.getLogger(__name__)
+
+HTTP = "http"
+MSGPACK_RPC = "msgpack-rpc"
+PROTOCOLS = (HTTP, MSGPACK_RPC)
+
+_NOWHERE: Address = ("127.0.0.1", 0)  # of a server that takes nothing new anyway
+
+
+@dataclass(slots=True, eq=False)
+class Endpoint:
+    """Where a node listens now, what it speaks, and what its carrier keeps of it."""
+
+    name: str
+    address: Address
+    started_at: int | None
+    state: ServerState
+    protocol: str
+    pool: Any = None  # its carrier's own
+    generation: int = 0  # of its process: older connections are not used again
+
+
+class Attempt:
+    """One attempt or probe, from its start to its one outcome."""
+
+    def __init__(self, endpoint: Endpoint, until: float, ended: Ended) -> None:
+        self.endpoint = endpoint
+        self.until = until  # on the event loop's clock
+        self.ended: Ended | None = ended
+        self.timers: list[asyncio.TimerHandle] = []
+
+    def end(self, outcome: Outcome, response: Response | None = None) -> None:
+        """Tell the outcome, once; what comes later is nobody's."""
+        ended, self.ended = self.ended, None
+        if ended is None:
+            return
+        for timer in self.timers:
+            timer.cancel()
+        self.let_go(outcome)
+        ended(outcome, response)
+
+    def let_go(self, outcome: Outcome) -> None:
+        """Give back what the attempt held, before its outcome is told."""
+
+    def cancel(self, final: bool) -> None:
+        """Stop waiting.  `final`: its request has its answer, so no other attempt follows this one."""
+        self.end(Outcome.CANCELLED)
+
+    def unsend(self) -> None:
+        """End it if it is not all written yet, so that it never will be."""
+        raise NotImplementedError
+
+
+class Carrier(Protocol):
+    """What speaks one protocol to nodes."""
+
+    def open(self, endpoint: Endpoint) -> None:
+        """A node has come: make its pool."""
+
+    def renew(self, endpoint: Endpoint) -> None:
+        """Its process or place is another: no connection opened so far is used again."""
+
+    def withdraw(self, endpoint: Endpoint) -> None:
+        """It takes nothing new: end what is not written and close what is idle."""
+
+    def forget(self, endpoint: Endpoint) -> None:
+        """It has gone from the list; what is still out holds the endpoint until it ends."""
+
+    def close_idle(self, endpoint: Endpoint) -> None: ...
+
+    def send(self, endpoint: Endpoint, call: Call, until: float, ended: Ended, *, last: bool) -> Attempt:
+        """Start an attempt.  `last`: when its time is up its request is over, and no other attempt follows."""
+
+    def probe(self, endpoint: Endpoint, until: float, ended: Ended) -> Attempt: ...
+
+    def most_idle(self) -> int:
+        """How many connections rest at the node where the most do."""
+
+    def drop_idle(self) -> None:
+        """Close the longest at rest there."""
+
+    async def close(self) -> None:
+        """Close what is idle and wait for dials to end."""
+
+
+class Slots:
+    """Connections to nodes, and dials under way, of all carriers together: guards the descriptors."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.open = 0
+        self.carriers: list[Carrier] = []
+
+    def is_full(self) -> bool:
+        return self.open >= self.most
+
+    def take(self) -> bool:
+        """Take a place for one more connection, perhaps for an idle one elsewhere; say whether there is one."""
+        if self.open >= self.most:
+            fullest = max(self.carriers, key=lambda each: each.most_idle())
+            if not fullest.most_idle():
+                return False
+            fullest.drop_idle()
+        self.open += 1
+        return True
+
+    def give(self) -> None:
+        self.open -= 1
+
+
+class Nodes:
+    """All nodes by name, each with the carrier of its protocol."""
+
+    def __init__(self, slots: Slots, probe_limit_s: float) -> None:
+        self.slots = slots
+        self.endpoints: dict[str, Endpoint] = {}  # of the nodes that the list holds now
+        self._carriers: dict[str, Carrier] = {}
+        self._probe_limit_s = probe_limit_s
+
+    def add(self, protocol: str, carrier: Carrier) -> None:
+        self._carriers[protocol] = carrier
+        self.slots.carriers.append(carrier)
+
+    def speaks(self, protocol: str) -> bool:
+        return protocol in self._carriers
+
+    def update(
+        self,
+        name: str,
+        address: Address | None,
+        started_at: int | None,
+        state: ServerState,
+        protocol: str = HTTP,
+    ) -> None:
+        """Note what the list says of a node; a new process or place makes its old connections useless."""
+        known = self.endpoints.get(name)
+        if known is not None and known.protocol != protocol and state is not ServerState.GONE:
+            self._remove(known)  # what it speaks now is another process's
+            known = None
+        if known is None:
+            if state is not ServerState.GONE:
+                known = Endpoint(name, address or _NOWHERE, started_at, state, protocol)
+                self._carriers[protocol].open(known)
+                self.endpoints[name] = known
+            return
+        if state is ServerState.GONE:
+            self._remove(known)
+            return
+        address = address or known.address
+        if (known.address, known.started_at) != (address, started_at):
+            known.address, known.started_at = address, started_at
+            known.generation += 1
+            self._carriers[protocol].renew(known)
+        known.state = state
+        if state is not ServerState.READY:
+            self._carriers[protocol].withdraw(known)
+
+    def _remove(self, endpoint: Endpoint) -> None:
+        endpoint.state = ServerState.GONE
+        carrier = self._carriers[endpoint.protocol]
+        carrier.withdraw(endpoint)
+        carrier.forget(endpoint)
+        del self.endpoints[endpoint.name]
+
+    def retain(self, names: Collection[str]) -> None:
+        """Drop all nodes but these."""
+        for name in [each for each in self.endpoints if each not in names]:
+            self._remove(self.endpoints[name])
+
+    def displace(self) -> list[str]:
+        """Drop the nodes whose address is that of one that started later: its process listens there now."""
+        latest: dict[Address, Endpoint] = {}
+        former = []
+        for each in self.endpoints.values():
+            other = latest.setdefault(each.address, each)
+            older, newer = sorted((other, each), key=lambda endpoint: endpoint.started_at or 0)
+            if each.address != _NOWHERE and (older.started_at or 0) < (newer.started_at or 0):
+                former.append(older.name)
+            latest[each.address] = newer
+        for name in former:
+            self._remove(self.endpoints[name])
+        return former
+
+    def send(self, name: str, call: Call, until: float, ended: Ended, *, last: bool = True) -> Attempt:
+        """Start an attempt; `ended` hears its outcome exactly once, maybe before this returns."""
+        endpoint = self.endpoints[name]
+        return self._carriers[endpoint.protocol].send(endpoint, call, until, ended, last=last)
+
+    def probe(self, name: str, ended: Ended) -> Attempt:
+        """Ask a node how it is."""
+        endpoint = self.endpoints[name]
+        until = asyncio.get_running_loop().time() + self._probe_limit_s
+        return self._carriers[endpoint.protocol].probe(endpoint, until, ended)
+
+    def close_idle(self, name: str) -> None:
+        endpoint = self.endpoints.get(name)
+        if endpoint is not None:
+            self._carriers[endpoint.protocol].close_idle(endpoint)
+
+    async def close(self) -> None:
+        for carrier in self._carriers.values():
+            await carrier.close()
--- /dev/null
+++ b/topazbank/http/connection.py
@@ -0,0 +1,236 @@
+"""HTTP/1.1 messages and one client connection; h11 reads, and what goes out is joined by hand."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from functools import partial
+
+import h11
+
+from topazbank.core.call import Headers
+from topazbank.core.net import Address, Reader, is_quiet, new_socket
+
+log = logging.getLogger(__name__)
+
+_HINTS_MOST = 8  # 1xx answers ahead of the one that counts
+_FRAMING = (b"content-length", b"transfer-encoding")
+_BODILESS = (204, 304)  # statuses whose answers hold no body, whatever their head says
+_HOP_BY_HOP = frozenset(
+    (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade")
+)
+ABOUT_BODY = (b"content-type", b"content-encoding")  # of a message's headers, these say how to read its body
+
+
+def end_to_end(headers: Iterable[tuple[bytes, bytes]], *dropped: bytes) -> Headers:
+    """What may be passed on: no header that belongs to one connection, nor those named."""
+    return [(n, v) for n, v in headers if n not in _HOP_BY_HOP and n not in dropped]
+
+
+def message(first: bytes, headers: Headers, body: bytes = b"") -> bytes:
+    """The bytes of a request or an answer.
+
+    h11 only reads here: at hundreds of requests a second its checks of what goes out take a good part of the
+    CPU.  All parts are our own or were read by it, so none can hide the end of a line.
+    """
+    return b"\r\n".join([first, *[b"%b: %b" % each for each in headers], b"", body])
+
+
+@dataclass(slots=True)
+class HttpResponse:
+    """A whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> str | None:
+        return next((v.decode("latin-1") for n, v in self.headers if n == name), None)
+
+
+_ASKED = (h11.Request(method="GET", target="/", headers=[("Host", "-")]), h11.EndOfMessage())
+
+
+def _answer_reader() -> h11.Connection:
+    """What reads one answer; it need not know the request, as none here is a HEAD or a CONNECT."""
+    reader = h11.Connection(h11.CLIENT)
+    for event in _ASKED:
+        reader.send(event)
+    return reader
+
+
+class Connection(Reader):
+    """One connection to a server; it carries one request at a time."""
+
+    def __init__(self, sock: socket.socket, body_most: int, stall_s: float | None = None) -> None:
+        self.sock = sock
+        self.reusable = True
+        self.spoilt = False  # whether it has answered with what is no answer
+        self._body_most = body_most
+        self._stall_s = stall_s  # what an answer that has begun may take; None: bounded elsewhere
+        self._stall: asyncio.TimerHandle | None = None
+        self._hints = 0  # 1xx answers to the request that is out
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._ended: Callable[[HttpResponse | None], None] | None = None
+        self._written = False
+        self._head: h11.Response | None = None
+        self._body = bytearray()
+        self.on_lost: Callable[[], None] = lambda: None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)  # so that an emptied buffer is told of
+
+    @property
+    def written(self) -> bool:
+        """Whether the request's last byte has gone to the kernel."""
+        return self._written
+
+    def is_idle(self) -> bool:
+        """Whether it may carry another request: guards against EOF or bytes that nobody has read yet."""
+        open_ = self._transport is not None and not self._transport.is_closing()
+        return open_ and self.reusable and self._ended is None and is_quiet(self.sock)
+
+    def request(self, data: bytes, ended: Callable[[HttpResponse | None], None]) -> None:
+        """Write a request; `ended` is called once, with the whole answer or with None if it broke."""
+        assert self._transport is not None
+        self._ended, self._written, self._hints = ended, False, 0
+        self._h11 = _answer_reader()
+        self._transport.write(data)
+        # A failed write closes the transport and empties its buffer, with nothing of it sent.
+        self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
+
+    def resume_writing(self) -> None:
+        self._written = self._ended is not None
+
+    def data_received(self, data: bytes) -> None:
+        if self._ended is None:
+            self.abort()  # stray bytes: what they answer is anyone's guess
+            return
+        self._feed(data)
+
+        if self._stall is None and self._stall_s is not None and self._has_begun():
+            self._stall = asyncio.get_running_loop().call_later(self._stall_s, self._spoil, "it stalled")
+
+    def eof_received(self) -> bool:
+        if self._ended is not None:
+            self._feed(b"")
+        return False
+
+    def _has_begun(self) -> bool:
+        """Whether a part of the answer is here, and not all of it."""
+        return self._ended is not None and (self._head is not None or bool(self._h11.trailing_data[0]))
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._h11.receive_data(data)
+            while self._next_event():
+                pass
+        except h11.RemoteProtocolError as broken:
+            if data:
+                self._spoil(str(broken))
+            else:
+                self._finish(None)  # cut short by the end of the connection
+
+    def _spoil(self, why: str) -> None:
+        """Give up on an answer that is none: the request ran, and the connection is of no further use."""
+        log.debug("answer spoilt: %s", why)
+        self.spoilt = True
+        self._finish(None)
+
+    def _next_event(self) -> bool:
+        event = self._h11.next_event()
+        if isinstance(event, h11.InformationalResponse):
+            self._hints += 1
+            if self._hints > _HINTS_MOST:
+                self._spoil("no end of 1xx answers")
+                return False
+        elif isinstance(event, h11.Response):
+            self._head = event
+            length = next((v for n, v in event.headers if n == b"content-length"), b"0")
+            if int(length) > self._body_most:
+                self._spoil("too long by its own account")
+                return False
+            return not self._is_all_here()
+        elif isinstance(event, h11.Data):
+            self._body += event.data
+            if len(self._body) > self._body_most:
+                self._spoil("too long")
+                return False
+        elif isinstance(event, h11.EndOfMessage):
+            done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+            self._finish(self._response(), done and not self._h11.trailing_data[0])
+            return False
+        return not isinstance(event, h11.ConnectionClosed | type(h11.NEED_DATA))
+
+    def _is_all_here(self) -> bool:
+        """Finish at once with a body that came with its head, as most do: that spares h11 two events."""
+        assert self._head is not None
+        framing = {name: value for name, value in self._head.headers if name in _FRAMING}
+        rest = self._h11.trailing_data[0]
+        if list(framing) != [b"content-length"] or int(framing[b"content-length"]) != len(rest):
+            return False
+        if self._head.status_code in _BODILESS:
+            return False
+        self._body += rest
+        self._finish(self._response(), self._h11.our_state is h11.DONE)
+        return True
+
+    def _response(self) -> HttpResponse | None:
+        head = self._head
+        if head is None:
+            return None
+        response = HttpResponse(head.status_code, list(head.headers), bytes(self._body))
+        framed = response.header(b"content-length") or response.header(b"transfer-encoding")
+        # An answer that ends with its connection can't be told from one cut short.
+        return response if framed is not None or head.status_code in _BODILESS else None
+
+    def _finish(self, response: HttpResponse | None, reusable: bool = False) -> None:
+        ended, self._ended = self._ended, None
+        self._head, self._body = None, bytearray()
+        self._end_stall()
+        if response is None or not reusable or not self._written:
+            self.abort()
+        if ended is not None:
+            ended(response)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.reusable = False
+        self._end_stall()
+        ended, self._ended = self._ended, None
+        if ended is not None:
+            ended(None)
+        self.on_lost()
+
+    def _end_stall(self) -> None:
+        if self._stall is not None:
+            self._stall.cancel()
+            self._stall = None
+
+    def abort(self) -> None:
+        """Close at once; what is not written yet never will be."""
+        self.reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+
+async def connect(
+    address: Address, body_most: int, stall_s: float | None = None, sock: socket.socket | None = None
+) -> Connection:
+    """Dial; raise OSError where no connection comes up."""
+    loop = asyncio.get_running_loop()
+    sock = sock or new_socket(address)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await loop.sock_connect(sock, address)
+        _, connection = await loop.create_connection(partial(Connection, sock, body_most, stall_s), sock=sock)
+    except BaseException:
+        sock.close()
+        raise
+    return connection
--- /dev/null
+++ b/topazbank/http/upstream.py
@@ -0,0 +1,286 @@
+"""The HTTP carrier: pools, attempts and probes; a connection carries one request at a time.
+
+Every byte and connection is under this file's control: nothing is resent silently, and it is known whether
+a request's last byte was written.  Only then may the node have begun it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from functools import partial
+
+from topazbank.core.call import BODY_MOST, Call, Ended, Response
+from topazbank.core.net import is_up, new_socket
+from topazbank.core.nodes import Attempt, Endpoint, Slots
+from topazbank.core.reports import parse_probe, parse_report
+from topazbank.http.connection import ABOUT_BODY, Connection, HttpResponse, connect, message
+from topazbank.interface import Outcome, Repeat, ServerState
+
+log = logging.getLogger(__name__)
+
+_REST_PART = 0.12  # of the dial limit: so long a connection rests after an answer before it is used again
+_IDLE_MARGIN = 0.1  # an idle connection is closed this part of its time before the node would
+
+Order = Callable[[float], bytes]  # makes a request when it is written, since it tells the time left
+
+
+@dataclass(slots=True, eq=False)
+class Pool:
+    """The connections to a node that carry nothing, and the dials to it."""
+
+    # The longest at rest first, each with the timer that closes it; bounded with all connections.
+    idle: list[tuple[Connection, asyncio.TimerHandle]] = field(default_factory=list)
+    dialling: set[Exchange] = field(default_factory=set)
+
+
+class Exchange(Attempt):
+    """One attempt or probe over HTTP, from the dial to its one outcome."""
+
+    def __init__(self, endpoint: Endpoint, order: Order, until: float, ended: Ended) -> None:
+        super().__init__(endpoint, until, ended)
+        self.generation = endpoint.generation
+        self.pool: Pool = endpoint.pool
+        self.order = order
+        self.probing = False
+        self.connection: Connection | None = None
+        self.dial: asyncio.Task[bool] | None = None
+
+    def let_go(self, outcome: Outcome) -> None:
+        self.pool.dialling.discard(self)
+        if outcome in (Outcome.EXPIRED, Outcome.CANCELLED, Outcome.DIAL_FAILED, Outcome.UNSENT):
+            if self.connection is not None:
+                self.connection.abort()  # this is how an attempt is given up
+            if self.dial is not None:
+                self.dial.cancel()
+
+    def unsend(self) -> None:
+        if self.connection is None or not self.connection.written:
+            self.end(Outcome.UNSENT)
+
+
+def judge(response: HttpResponse | None, written: bool, spoilt: bool) -> Outcome:
+    """What an ended exchange proves: it never ran only if that is certain."""
+    if response is None and not written:
+        return Outcome.DIAL_FAILED
+    if response is None:
+        return Outcome.ERROR if spoilt else Outcome.DROPPED  # who answers with noise is still there
+    if response.status == 200:
+        return Outcome.DELIVERED
+    if response.status in (503, 504) and response.header(b"x-rejected") == "1":
+        return Outcome.FULL
+    return Outcome.ERROR
+
+
+def write_request(call: Call, left_s: float) -> bytes:
+    """What an attempt sends: the client's request, with the time that is left for it."""
+    safe = call.kind.repeat is Repeat.SAFE
+    headers = [
+        *(call.headers if call.headers is not None else _headers(call)),
+        (b"X-Budget", b"%.6f" % left_s),
+    ]
+    if not any(name == b"host" for name, _ in headers):
+        headers.append((b"Host", b"sidecar"))  # HTTP/1.0 and other protocols have none, HTTP/1.1 needs one
+    if call.body or not safe:
+        headers.append((b"Content-Length", b"%d" % len(call.body)))
+    first = b"%b %b HTTP/1.1" % (b"GET" if safe else b"POST", call.target)
+    return message(first, headers, call.body)
+
+
+def _headers(call: Call) -> list[tuple[bytes, bytes]]:
+    """The headers of a call that came in another protocol; its front let only visible characters through."""
+    headers = [(b"X-Call-Id", call.ident.encode()), (b"X-Call-Class", call.kind.name.encode())]
+    if call.caller is not None:
+        headers.append((b"X-Caller", call.caller.encode()))
+    if call.idempotency_key is not None:
+        headers.append((b"Idempotency-Key", call.idempotency_key.encode()))
+    if call.again:
+        headers.append((b"X-Again", b"1"))
+    if call.cost_us is not None:
+        headers.append((b"X-Call-Cost", b"%d" % call.cost_us))
+    return headers + (call.about or [])
+
+
+class HttpCarrier:
+    """All HTTP connections to nodes, within the bound that `slots` keeps for all carriers."""
+
+    def __init__(
+        self, dial_limit_s: float, idle_s: float, slots: Slots, columns: Collection[str] = ()
+    ) -> None:
+        self._dial_limit = dial_limit_s
+        self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
+        self._rest_s = _REST_PART * dial_limit_s
+        self._slots = slots
+        self._columns = columns  # of load reports; none: there are no reports
+        self._pools: dict[str, Pool] = {}
+
+    def open(self, endpoint: Endpoint) -> None:
+        endpoint.pool = self._pools[endpoint.name] = Pool()
+
+    def renew(self, endpoint: Endpoint) -> None:
+        self.close_idle(endpoint)
+
+    def forget(self, endpoint: Endpoint) -> None:
+        del self._pools[endpoint.name]
+
+    def withdraw(self, endpoint: Endpoint) -> None:
+        """End what was not written: a slow dial may outlast the grace."""
+        self.close_idle(endpoint)
+        for exchange in list(endpoint.pool.dialling):
+            exchange.end(Outcome.DIAL_FAILED)
+
+    def send(self, endpoint: Endpoint, call: Call, until: float, ended: Ended, *, last: bool) -> Exchange:
+        """Start an attempt; giving one up closes its connection, whether it was the last or not."""
+        return self._start(Exchange(endpoint, partial(write_request, call), until, ended))
+
+    def probe(self, endpoint: Endpoint, until: float, ended: Ended) -> Exchange:
+        target = b"/stats" if self._columns else b"/health/live"
+        data = message(b"GET %b HTTP/1.1" % target, [(b"Host", endpoint.name.encode())])
+        exchange = Exchange(endpoint, lambda _: data, until, ended)
+        exchange.probing = True
+        return self._start(exchange)
+
+    def _start(self, exchange: Exchange) -> Exchange:
+        loop = asyncio.get_running_loop()
+        if exchange.until <= loop.time():
+            exchange.end(Outcome.UNSENT)
+            return exchange
+        exchange.timers.append(loop.call_at(exchange.until, self._time_up, exchange))
+        connection = self._take_idle(exchange.pool, self._rest_s)
+        if connection is None and self._slots.is_full():
+            connection = self._take_idle(exchange.pool, 0.0)  # no room for another
+        if connection is not None:
+            self._write(exchange, connection)
+        elif self._slots.take():
+            exchange.pool.dialling.add(exchange)
+            exchange.dial = loop.create_task(self._dial(exchange))
+            exchange.dial.add_done_callback(self._dialled)
+        else:
+            log.warning("no connection to spare for %s", exchange.endpoint.name)
+            exchange.end(Outcome.DIAL_FAILED)
+        return exchange
+
+    def close_idle(self, endpoint: Endpoint) -> None:
+        pool: Pool = endpoint.pool
+        while pool.idle:
+            connection, timer = pool.idle.pop()
+            timer.cancel()
+            connection.abort()
+
+    @staticmethod
+    def _time_up(exchange: Exchange) -> None:
+        connection = exchange.connection
+        exchange.end(
+            Outcome.EXPIRED if connection is not None and connection.written else Outcome.DIAL_FAILED
+        )
+
+    @staticmethod
+    def _dial_time_up(exchange: Exchange, sock: socket.socket) -> None:
+        """End a dial, unless its connection is up and only this program has not come to look.
+
+        Guards a busy sidecar against taking its own lag for dead servers.  The attempt's end bounds it still.
+        """
+        if exchange.connection is None and not is_up(sock):
+            exchange.end(Outcome.DIAL_FAILED)
+
+    def _take_idle(self, pool: Pool, rest_s: float) -> Connection | None:
+        """The last used of those that have rested.
+
+        What a server does to a connection after its answer, an end or more bytes, is under way for as long as
+        the network takes; what is written meanwhile may have run and would be lost, or get another's answer.
+        """
+        closed_by = asyncio.get_running_loop().time() + self._idle_s - rest_s
+        for index in reversed(range(len(pool.idle))):
+            connection, timer = pool.idle[index]
+            if timer.when() > closed_by:
+                continue
+            del pool.idle[index]
+            timer.cancel()
+            if connection.is_idle():
+                return connection
+            connection.abort()
+        return None
+
+    def most_idle(self) -> int:
+        return max((len(each.idle) for each in self._pools.values()), default=0)
+
+    def drop_idle(self) -> None:
+        fullest = max(self._pools.values(), key=lambda each: len(each.idle))
+        connection, timer = fullest.idle.pop(0)
+        timer.cancel()
+        connection.abort()
+
+    async def _dial(self, exchange: Exchange) -> bool:
+        """Dial and write; say whether there is a connection now."""
+        endpoint = exchange.endpoint
+        try:
+            sock = new_socket(endpoint.address)
+            loop = asyncio.get_running_loop()
+            exchange.timers.append(loop.call_later(self._dial_limit, self._dial_time_up, exchange, sock))
+            connection = await connect(endpoint.address, BODY_MOST, self._dial_limit, sock)
+        except OSError as fault:
+            log.debug("no connection to %s: %r", endpoint.name, fault)
+            exchange.end(Outcome.DIAL_FAILED)
+            return False
+        connection.on_lost = self._slots.give
+        if exchange.ended is None:
+            connection.abort()
+        else:
+            self._write(exchange, connection)
+        return True
+
+    def _dialled(self, dial: asyncio.Task[bool]) -> None:
+        if dial.cancelled() or not dial.result():
+            self._slots.give()
+
+    def _write(self, exchange: Exchange, connection: Connection) -> None:
+        exchange.connection = connection
+        exchange.pool.dialling.discard(exchange)
+        left = exchange.until - asyncio.get_running_loop().time()
+        connection.request(exchange.order(max(left, 0.0)), partial(self._answered, exchange, connection))
+
+    def _answered(self, exchange: Exchange, connection: Connection, response: HttpResponse | None) -> None:
+        self._put_back(exchange, connection)
+        outcome = judge(response, connection.written, connection.spoilt)
+        exchange.end(outcome, None if response is None else self._neutral(exchange, outcome, response))
+
+    def _neutral(self, exchange: Exchange, outcome: Outcome, response: HttpResponse) -> Response:
+        if exchange.probing:
+            report = parse_probe(response.body, self._columns) if outcome is Outcome.DELIVERED else None
+            return Response(response.body, None, report)
+        about = [each for each in response.headers if each[0] in ABOUT_BODY]
+        return Response(response.body, about, parse_report(response.header(b"x-load-report"), self._columns))
+
+    def _put_back(self, exchange: Exchange, connection: Connection) -> None:
+        """Keep a connection for the next request, for less long than the node keeps it."""
+        endpoint = exchange.endpoint
+        if not connection.reusable:
+            return
+        if exchange.generation != endpoint.generation or endpoint.state is not ServerState.READY:
+            connection.abort()
+            return
+        timer = asyncio.get_running_loop().call_later(
+            self._idle_s, self._idle_over, exchange.pool, connection
+        )
+        exchange.pool.idle.append((connection, timer))
+
+    @staticmethod
+    def _idle_over(pool: Pool, connection: Connection) -> None:
+        pool.idle = [each for each in pool.idle if each[0] is not connection]
+        connection.abort()
+
+    async def close(self) -> None:
+        dials = [
+            each.dial for pool in self._pools.values() for each in pool.dialling if each.dial is not None
+        ]
+        for pool in list(self._pools.values()):
+            for connection, timer in pool.idle:
+                timer.cancel()
+                connection.abort()
+            pool.idle = []
+            for exchange in list(pool.dialling):
+                exchange.end(Outcome.DIAL_FAILED)
+        await asyncio.gather(*dials, return_exceptions=True)
--- /dev/null
+++ b/topazbank/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Where the list of nodes comes from."""
--- a/topazbank/net/discovery.py
+++ b/topazbank/membership/registry.py
@@ -1,4 +1,4 @@
-"""The list of servers: watches and fetches.  When to ask is not decided here."""
+"""The registry of the platform, over HTTP: watches and fetches.  When to ask is not decided here."""
 
 from __future__ import annotations
 
@@ -7,11 +7,12 @@
 import logging
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from typing import Any
 
+from topazbank.core.members import Listed, Told
+from topazbank.core.net import Address, parse_address
+from topazbank.http.connection import Connection, HttpResponse, connect, message
 from topazbank.interface import ListedServer, ServerState
-from topazbank.net.upstream import Address, Connection, Response, connect, message, parse_address
 
 log = logging.getLogger(__name__)
 
@@ -24,23 +25,6 @@
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 
-@dataclass(slots=True)
-class Listed:
-    """A line of the list, with the address that the server has for this sidecar."""
-
-    server: ListedServer
-    address: Address | None
-
-
-@dataclass(slots=True)
-class Told:
-    """What discovery answered."""
-
-    version: int
-    complete: bool
-    lines: list[Listed]
-
-
 def parse_list(given: object) -> Told:
     """Read discovery's form; a junk entry is skipped with a log line, a junk list is a ValueError."""
     if not isinstance(given, Mapping) or not isinstance(given.get("endpoints"), list):
@@ -69,8 +53,11 @@
     # A status that is not known here takes nothing new.
     state = _STATES.get(entry["status"], ServerState.DRAINING)
     started_at = since_ms * 1000 or None
+    protocol = entry.get("protocol")
+    if protocol is not None and not isinstance(protocol, str):
+        raise ValueError("protocol must be a text")
     server = ListedServer(name, zone, kind, group, state, float(weight), started_at)
-    return Listed(server, _place(entry.get("address"), state))
+    return Listed(server, _place(entry.get("address"), state), protocol)
 
 
 def _place(value: object, state: ServerState) -> Address | None:
@@ -152,26 +139,26 @@
         return told is not None
 
     @staticmethod
-    def _read(response: Response | None) -> Told:
+    def _read(response: HttpResponse | None) -> Told:
         if response is None:
             raise ConnectionResetError("the connection broke")
         if response.status != 200:
             raise ConnectionRefusedError(f"status {response.status}")
         return parse_list(json.loads(response.body))
 
-    async def _call(self, target: str) -> Response | None:
+    async def _call(self, target: str) -> HttpResponse | None:
         connection = await connect(self._address, _LIST_MOST)
         try:
             return await self._exchange(connection, target)
         finally:
             connection.abort()
 
-    async def _exchange(self, connection: Connection, target: str) -> Response | None:
-        answer: asyncio.Future[Response | None] = asyncio.get_running_loop().create_future()
+    async def _exchange(self, connection: Connection, target: str) -> HttpResponse | None:
+        answer: asyncio.Future[HttpResponse | None] = asyncio.get_running_loop().create_future()
         host = f"{self._address[0]}:{self._address[1]}".encode()
         call = message(b"GET %b HTTP/1.1" % target.encode(), [(b"Host", host), (b"Connection", b"close")])
 
-        def ended(response: Response | None) -> None:
+        def ended(response: HttpResponse | None) -> None:
             if not answer.done():
                 answer.set_result(response)
 
--- a/topazbank/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The sockets round the decisions: bytes become events, actions become bytes."""
--- /dev/null
+++ b/topazbank/wiring.py
@@ -0,0 +1,29 @@
+"""Puts a sidecar's parts together, as its operator file says; what is off is not imported."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from topazbank.core.driver import Config, Wiring
+from topazbank.core.members import Dialects, Source, Told
+from topazbank.core.nodes import HTTP, Carrier, Slots
+from topazbank.http.front import HttpConnection
+from topazbank.http.upstream import HttpCarrier
+from topazbank.interface import Settings
+from topazbank.membership.registry import Discovery
+from topazbank.operator import Operator
+
+
+def wire(operator: Operator) -> Wiring:
+    """The parts that the operator file asks for."""
+
+    def carriers(settings: Settings, slots: Slots) -> Mapping[str, Carrier]:
+        limits, columns = settings.limits, settings.report_columns
+        dial_s, idle_s = limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6
+        return {HTTP: HttpCarrier(dial_s, idle_s, slots, columns)}
+
+    return Wiring(HttpConnection, None, carriers, _registry, Dialects(operator.protocol, operator.pods))
+
+
+def _registry(config: Config, told: Callable[[Told | None], None]) -> Source:
+    return Discovery(config.discovery, config.known.version, told)
