--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one script a question; each compares in one run."""
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,7 +6,7 @@
 # build of the same release.  Any from 3.11 on will do.
 python=/usr/bin/python3
 $python -c 'import ensurepip, sys; sys.exit(sys.version_info < (3, 11))' 2>/dev/null || python=python3
-if ! (echo "# $python"; cat requirements.txt) | cmp -s - .venv/installed.txt || ! .venv/bin/python -c 'import h11'; then
+if ! (echo "# $python"; cat requirements.txt) | cmp -s - .venv/installed.txt || ! .venv/bin/python -c 'import h11, msgpack'; then
     rm -rf .venv
     $python -m venv .venv
     .venv/bin/pip install -q --disable-pip-version-check -r requirements.txt
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,21 +1,26 @@
-"""A small world over loopback sockets: scripted servers and discovery, and a client that sends raw bytes."""
+"""A small world over loopback sockets: scripted servers and discovery, and clients, in any pair of protocols.
+
+Tests say what is asked and answered in HTTP's words; the pair of protocols that the test runs under (conftest.py)
+decides what goes over the sockets.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import json
-import socket
-import struct
 from collections.abc import AsyncIterator, Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any
 
+import msgpack
 from helpers import KEYED, SAFE, UNSAFE, S, settings
 
+from standins.wire import HTTP, MSGPACK_RPC, Asked, Listening, Reply, pack, read_http, read_rpc, reset
 from topazbank.core.driver import Config, Sidecar
 from topazbank.core.net import Address
 from topazbank.membership.registry import parse_list
-from topazbank.operator import Operator
+from topazbank.operator import MsgpackRpc, Operator
 from topazbank.wiring import wire
 
 PATIENCE_S = 20.0  # for what must come; no test takes it as proof of anything
@@ -40,45 +45,47 @@
             await asyncio.sleep(0.005)
 
 
-async def read_message(reader: asyncio.StreamReader) -> tuple[str, Head, bytes]:
-    """Read a request or an answer: first line, headers, body."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    first, *lines = head.strip().split("\r\n")
-    headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
-    return first, headers, await reader.readexactly(int(headers.get("content-length", "0")))
+@dataclass(frozen=True, slots=True)
+class Pair:
+    """What clients speak, and what nodes do."""
 
+    client: str = HTTP
+    nodes: str = HTTP
 
-def answer(status: int = 200, body: bytes = b"done", **headers: str) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
-    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    def __str__(self) -> str:
+        return f"{self.client}>{self.nodes}"
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Break a connection as a process that dies does."""
-    sock = writer.get_extra_info("socket")
-    if sock.fileno() < 0:
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
+PAIRS = [Pair(client, nodes) for client in (HTTP, MSGPACK_RPC) for nodes in (HTTP, MSGPACK_RPC)]
+_pair = [Pair()]  # the one that the test runs under
 
 
-class Listening:
-    """What listens on a port that the kernel picks."""
+def use(pair: Pair) -> None:
+    _pair[0] = pair
 
-    address: Address = ("127.0.0.1", 0)
-    _server: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = self._server.sockets[0].getsockname()[:2]
+def pair() -> Pair:
+    return _pair[0]
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        raise NotImplementedError
 
-    def stop(self) -> None:
-        if self._server is not None:
-            self._server.close()
+class Scripted(bytes):
+    """A server's answer: HTTP's bytes, and what MessagePack-RPC's are made of."""
+
+    reply: Reply
+
+
+class Wanted(bytes):
+    """A client's request: HTTP's bytes, and what MessagePack-RPC's are made of."""
+
+    method: str
+    params: list[Any]
+
+
+def answer(status: int = 200, body: bytes = b"done", **headers: str) -> Scripted:
+    reply = Reply(status, body, {name.replace("_", "-"): value for name, value in headers.items()})
+    made = Scripted(reply.http())
+    made.reply = reply
+    return made
 
 
 class FakeServer(Listening):
@@ -87,22 +94,27 @@
     def __init__(self, name: str, script: Callable[[str, Head, bytes], bytes | None]) -> None:
         self.name = name
         self.script = script
+        self.protocol = pair().nodes
         self.requests: list[tuple[str, Head, bytes]] = []
         self.writers: list[asyncio.StreamWriter] = []
         self.closed = 0  # connections that the other side ended
+        self.msgids: list[tuple[asyncio.StreamWriter, int]] = []  # of MessagePack-RPC requests, as they came
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.append(writer)
+        unpacker = msgpack.Unpacker(raw=False)
         try:
             while True:
-                request = await read_message(reader)
-                self.requests.append(request)
-                reply = self.script(*request)
-                if reply == b"":
-                    reset(writer)
-                elif reply is not None:
-                    writer.write(reply)
-                    if b"Connection: close" in reply:
+                if self.protocol == HTTP:
+                    if self._one(await read_http(reader), writer):
+                        return
+                    continue
+                data = await reader.read(65536)
+                if not data:
+                    raise ConnectionResetError
+                unpacker.feed(data)
+                for message in unpacker:
+                    if self._one(read_rpc(message), writer):
                         return
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed += 1
@@ -111,6 +123,29 @@
         finally:
             writer.close()
 
+    def _one(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        """Answer a request; say whether the connection ends with that."""
+        self.requests.append((asked.first, asked.headers, asked.body))
+        if asked.msgid is not None:
+            self.msgids.append((writer, asked.msgid))
+        reply = self.script(asked.first, asked.headers, asked.body)
+        if reply == b"":
+            reset(writer)
+        elif reply is not None:
+            writer.write(encoded(reply, asked.msgid))
+            return b"Connection: close" in reply
+        return False
+
+    def answer_held(self, reply: bytes) -> None:
+        """Answer what was met with silence so far, on connections that are still open."""
+        if self.protocol == HTTP:
+            for writer in self.writers:
+                if not writer.is_closing():
+                    writer.write(reply)
+        for writer, msgid in self.msgids:
+            if not writer.is_closing():
+                writer.write(encoded(reply, msgid))
+
     def stop(self) -> None:
         """Die: no new connections, and those that are open break."""
         super().stop()
@@ -119,7 +154,15 @@
 
     def entry(self, **changes: Any) -> dict[str, Any]:
         address = f"{self.address[0]}:{self.address[1]}"
-        entry = {"name": self.name, "address": address, "zone": "east", "type": "m", "group": 1}
+        entry: dict[str, Any] = {
+            "name": self.name,
+            "address": address,
+            "zone": "east",
+            "type": "m",
+            "group": 1,
+        }
+        if self.protocol != HTTP:
+            entry["protocol"] = self.protocol
         return entry | {"status": "active", "weight": 1.0, "since_ms": 0} | changes
 
 
@@ -135,7 +178,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         loop = asyncio.get_running_loop()
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            first, _, _ = await read_message(reader)
+            first = (await read_http(reader)).first
             if self._answered_at is not None:
                 self.called_after_s.append(loop.time() - self._answered_at)
             self.targets.append(first.split(" ")[1])
@@ -187,7 +230,8 @@
     given = settings(**{"classes": CLASSES, "limits": LIMITS, **changes})
     known = parse_list({"index": 41, "snapshot": True, "endpoints": [each.entry() for each in servers]})
     config = Config(("127.0.0.1", 0), discovery.address, 7, sockets, given, known)
-    made = World(Sidecar(config, wire(Operator())), servers, discovery)
+    operator = Operator(MsgpackRpc(clients=True, nodes=True))
+    made = World(Sidecar(config, wire(operator)), servers, discovery)
     running = asyncio.create_task(made.sidecar.run(made.stop))
     await until(lambda: made.sidecar._balancer._begun)
     try:
@@ -207,8 +251,8 @@
     budget: str = "5.0",
     method: str | None = None,
     **headers: str | None,
-) -> bytes:
-    """The bytes of a request; a header given as None is left out."""
+) -> Wanted:
+    """A request; a header given as None is left out."""
     given: dict[str, str | None] = {
         "Host": "app.svc",
         "X-Call-Id": "9b1f03aa5c7e2d41",
@@ -220,22 +264,112 @@
     given |= {name.replace("_", "-"): value for name, value in headers.items()}
     lines = [f"{name}: {value}" for name, value in given.items() if value is not None]
     verb = method or ("GET" if kind == "look" else "POST")
-    return "\r\n".join([f"{verb} {path} HTTP/1.1", *lines, "", ""]).encode() + body
+    made = Wanted("\r\n".join([f"{verb} {path} HTTP/1.1", *lines, "", ""]).encode() + body)
+    made.method, made.params = _as_rpc(kind, path, body, given)
+    return made
+
+
+_FIELDS = {
+    "X-Call-Id": "id",
+    "X-Budget": "budget",
+    "X-Caller": "tenant",
+    "Idempotency-Key": "idempotency_key",
+    "X-Call-Cost": "cost_us",
+    "X-Again": "again",
+}
+
+
+def _as_rpc(kind: str, path: str, body: bytes, given: dict[str, str | None]) -> tuple[str, list[Any]]:
+    """The method and the params that say the same."""
+    if path == "/health/ready":
+        return "health.ready", []
+    envelope: dict[str, Any] = {"path": path}
+    for header, name in _FIELDS.items():
+        value = given.get(header)
+        if value is not None:
+            envelope[name] = _plain(name, value)
+    return given["X-Call-Class"] or "", [envelope, body]
+
+
+def _plain(name: str, value: str) -> object:
+    """Numbers and flags as such, where they are; what is junk stays a text."""
+    if name == "again":
+        return value == "1"
+    if name in ("budget", "cost_us"):
+        with contextlib.suppress(ValueError):
+            return float(value) if name == "budget" else int(value)
+    return value
+
+
+def encoded(reply: bytes, msgid: int | None) -> bytes:
+    """A scripted answer as it goes to whoever asked; raw bytes go as they are."""
+    return reply.reply.rpc(msgid) if msgid is not None and isinstance(reply, Scripted) else bytes(reply)
+
+
+class Client:
+    """One connection of a client, in the pair's protocol."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.protocol = pair().client
+        self._unpacker = msgpack.Unpacker(raw=False)
+        self._msgid = 0
+
+    def send(self, data: bytes) -> None:
+        if self.protocol == MSGPACK_RPC and isinstance(data, Wanted):
+            self._msgid += 1
+            data = pack([0, self._msgid, data.method, data.params])
+        self.writer.write(data)
+
+    async def answer(self) -> tuple[int, Head, bytes]:
+        """The next answer: status, headers, body."""
+        if self.protocol == HTTP:
+            return await read_answer(self.reader)
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                for message in self._unpacker:
+                    return _as_http(message)
+                data = await self.reader.read(65536)
+                if not data:
+                    raise ConnectionResetError
+                self._unpacker.feed(data)
+
+    async def is_closed(self) -> bool:
+        return await is_closed(self.reader)
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+def _as_http(message: Any) -> tuple[int, Head, bytes]:
+    kind, _, error, result = message
+    assert kind == 1
+    if error is None:
+        return 200, {"content-type": result["type"]} if "type" in result else {}, result.get("body", b"")
+    code, text, info = error
+    headers = {"retry-after": str(info["retry_after"])} if "retry_after" in info else {}
+    return code, headers, text.encode()
+
+
+async def client(address: Address) -> Client:
+    return Client(*await asyncio.open_connection(*address))
 
 
 async def ask(address: Address, data: bytes) -> tuple[int, Head, bytes]:
-    """Send raw bytes on a connection of their own; give status, headers and body of the answer."""
-    reader, writer = await asyncio.open_connection(*address)
+    """Ask on a connection of its own; give status, headers and body of the answer."""
+    one = await client(address)
     try:
-        writer.write(data)
-        return await read_answer(reader)
+        one.send(data)
+        return await one.answer()
     finally:
-        writer.close()
+        one.close()
 
 
 async def read_answer(reader: asyncio.StreamReader) -> tuple[int, Head, bytes]:
-    first, headers, body = await asyncio.wait_for(read_message(reader), PATIENCE_S)
-    return int(first.split(" ")[1]), headers, body
+    """An HTTP answer."""
+    got = await asyncio.wait_for(read_http(reader), PATIENCE_S)
+    return int(got.first.split(" ")[1]), got.headers, got.body
 
 
 async def is_closed(reader: asyncio.StreamReader) -> bool:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -16,20 +16,23 @@
     FakeServer,
     answer,
     ask,
+    client,
+    pair,
     play,
     request,
-    reset,
     until,
     world,
 )
 
+from standins.wire import reset
 from topazbank.core.call import Call, Response, Rulebook
 from topazbank.core.net import Address
-from topazbank.core.nodes import HTTP, Nodes, Slots
+from topazbank.core.nodes import HTTP, MSGPACK_RPC, Nodes, Slots
 from topazbank.core.reports import parse_report
 from topazbank.http.connection import HttpResponse, connect
 from topazbank.http.upstream import HttpCarrier, judge, write_request
 from topazbank.interface import Action, AttemptEnded, Event, Outcome, ServerState
+from topazbank.msgpackrpc.upstream import RpcCarrier
 
 
 def served(*_: object) -> bytes:
@@ -48,6 +51,7 @@
     return answer(503, b"", X_Rejected="1")
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() -> None:
     async def scene() -> None:
         body = bytes(range(256)) * 16
@@ -56,7 +60,7 @@
             status, headers, got = await ask(w.sidecar.frontend.address, sent)
             assert (status, headers["content-type"], got) == (200, "x/y", body)
             ((first, given, there),) = w.sent()
-            assert first == "POST /api/7f3a?q=1 HTTP/1.1" and there == b"\0body\xff"
+            assert first.split(" ")[1] == "/api/7f3a?q=1" and there == b"\0body\xff"
             assert given["x-call-id"] == "9b1f03aa5c7e2d41" and given["idempotency-key"] == "5c0f6e1a"
             assert 0.0 < float(given["x-budget"]) < 5.0
 
@@ -76,6 +80,7 @@
         (b"nonsense\r\n\r\n", 500, 1),
     ],
 )
+@pytest.mark.usefixtures("each_pair")
 def test_an_unsafe_request_is_sent_again_only_where_it_never_ran(
     reply: bytes, status: int, attempts: int
 ) -> None:
@@ -93,6 +98,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_refused_connection_lets_even_an_unsafe_request_go_elsewhere() -> None:
     async def scene() -> None:
         async with world(served, served) as w:
@@ -112,6 +118,7 @@
         b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nnot a\r\n",
     ],
 )
+@pytest.mark.usefixtures("each_client")
 def test_a_body_that_may_not_be_whole_is_not_passed_on(cut: bytes) -> None:
     async def scene() -> None:
         async with world(lambda *_: cut) as w:
@@ -139,6 +146,7 @@
 
 
 @pytest.mark.parametrize("spoilt", SPOILT, ids=range(len(SPOILT)))
+@pytest.mark.usefixtures("each_client")
 def test_a_spoilt_answer_is_an_error_at_once_and_its_connection_is_not_used_again(
     spoilt: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -162,6 +170,7 @@
 
 
 @pytest.mark.parametrize("more", [answer(200, b"a second copy"), b"noise"])
+@pytest.mark.usefixtures("each_client")
 def test_more_than_belongs_to_an_answer_costs_its_connection_and_nothing_else(more: bytes) -> None:
     async def scene() -> None:
         async with world(lambda *_: b"HTTP/1.1 103 X\r\n\r\n" + answer(200, b"done") + more) as w:
@@ -172,6 +181,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_hung_server_leaves_time_for_an_answer_and_its_connection_is_closed() -> None:
     async def scene() -> None:
         async with world(hung) as w:
@@ -185,19 +195,21 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_client_that_leaves_ends_its_attempt() -> None:
     async def scene() -> None:
         async with world(hung) as w:
-            _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
-            writer.write(request("pay", body=b"x"))
+            leaving = await client(w.sidecar.frontend.address)
+            leaving.send(request("pay", body=b"x"))
             await until(w.sent)
-            writer.close()
+            leaving.close()
             await until(lambda: w.servers[0].closed == 1)
             assert not w.sidecar._live  # the late outcome reached the module, and nothing is kept
 
     play(scene())
 
 
+@pytest.mark.usefixtures("each_node")
 def test_nothing_is_sent_for_a_client_that_left_before_its_request_was_read() -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -214,6 +226,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_connections_are_used_again() -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -225,6 +238,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_client")
 def test_a_connection_rests_before_it_is_used_again_unless_there_is_no_room_for_another() -> None:
     # Guards against an end or a second copy that is under way behind the answer.
     async def scene() -> None:
@@ -239,6 +253,7 @@
 
 # Guards against a request that is written to a connection which its server has already ended.
 @pytest.mark.parametrize("how", ["end", "stray"])
+@pytest.mark.usefixtures("each_client")
 def test_a_connection_with_an_end_or_stray_bytes_is_not_used_again(how: str) -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -261,6 +276,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_client")
 def test_an_idle_connection_is_closed_before_its_server_would() -> None:
     async def scene() -> None:
         limits = {"max_attempts": 3, "may_cancel": True, "idle_close_us": 1 * S}
@@ -274,6 +290,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_junk_load_reports_are_skipped() -> None:
     columns = ("util", "qps")
     assert parse_report("TEXT util=0.5, qps=7, other=1", columns) == {"util": 0.5, "qps": 7.0}
@@ -296,9 +313,14 @@
 def nodes_of(dial_limit_s: float, most: int = 10) -> Nodes:
     nodes = Nodes(Slots(most), 4.0)
     nodes.add(HTTP, HttpCarrier(dial_limit_s, 60.0, nodes.slots))
+    nodes.add(MSGPACK_RPC, RpcCarrier(dial_limit_s, 60.0, nodes.slots))
     return nodes
 
 
+def note(nodes: Nodes, address: Address, started_at: int | None, state: ServerState, name: str = "s") -> None:
+    nodes.update(name, address, started_at, state, pair().nodes)
+
+
 async def outcome_of(nodes: Nodes, seconds: float = 5.0, body: bytes = b"") -> Outcome:
     loop = asyncio.get_running_loop()
     ended: asyncio.Future[Outcome] = loop.create_future()
@@ -375,25 +397,27 @@
 
 
 @pytest.mark.parametrize(("dial_limit", "seconds"), [(0.1, 30.0), (30.0, 0.1)])
+@pytest.mark.usefixtures("each_node")
 def test_a_dial_ends_at_its_own_limit_and_at_the_end_of_the_attempt(
     dial_limit: float, seconds: float
 ) -> None:
     async def scene() -> None:
         with deaf() as address:
             nodes = nodes_of(dial_limit, 10)
-            nodes.update("s", address, None, ServerState.READY)
+            note(nodes, address, None, ServerState.READY)
             assert await outcome_of(nodes, seconds) is Outcome.DIAL_FAILED
             await until(lambda: nodes.slots.open == 0)
 
     play(scene())
 
 
+@pytest.mark.usefixtures("each_node")
 def test_a_connection_that_came_up_while_the_program_lagged_is_no_failed_dial() -> None:
     async def scene() -> None:
         server = FakeServer("s", served)
         await server.start()
         nodes = nodes_of(0.1, 10)
-        nodes.update("s", server.address, None, ServerState.READY)
+        note(nodes, server.address, None, ServerState.READY)
         outcome = asyncio.create_task(outcome_of(nodes))
         while not nodes.slots.open:
             await asyncio.sleep(0)
@@ -406,36 +430,39 @@
 
 
 @pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
+@pytest.mark.usefixtures("each_node")
 def test_a_dial_under_way_to_a_server_that_leaves_is_ended(state: ServerState) -> None:
     # Guards rule 3: a slow dial would write its request after the grace.
     async def scene() -> None:
         with deaf() as address:
             nodes = nodes_of(30.0, 10)
-            nodes.update("s", address, None, ServerState.READY)
+            note(nodes, address, None, ServerState.READY)
             sending = asyncio.create_task(outcome_of(nodes))
             await until(lambda: nodes.slots.open == 1)
-            nodes.update("s", address, None, state)
+            note(nodes, address, None, state)
             assert await sending is Outcome.DIAL_FAILED
             await until(lambda: nodes.slots.open == 0)
 
     play(scene())
 
 
+@pytest.mark.usefixtures("each_node")
 def test_an_attempt_whose_time_is_up_is_never_sent() -> None:
     async def scene() -> None:
         nodes = nodes_of(1.0, 10)
-        nodes.update("s", ("127.0.0.1", 1), None, ServerState.READY)
+        note(nodes, ("127.0.0.1", 1), None, ServerState.READY)
         assert await outcome_of(nodes, -1.0) is Outcome.UNSENT
 
     play(scene())
 
 
+@pytest.mark.usefixtures("each_node")
 def test_a_cancelled_attempt_has_one_outcome_and_its_connection_is_closed() -> None:
     async def scene() -> None:
         server = FakeServer("s", hung)
         await server.start()
         nodes = nodes_of(1.0, 10)
-        nodes.update("s", server.address, None, ServerState.READY)
+        note(nodes, server.address, None, ServerState.READY)
         outcomes: list[Outcome] = []
         loop = asyncio.get_running_loop()
         exchange = nodes.send("s", a_call(), loop.time() + 30, lambda o, _: outcomes.append(o))
@@ -449,20 +476,21 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_node")
 def test_a_restarted_or_moved_server_loses_its_old_connections() -> None:
     async def scene() -> None:
         server = FakeServer("s", served)
         await server.start()
         nodes = nodes_of(1.0, 10)
-        nodes.update("s", server.address, None, ServerState.READY)
+        note(nodes, server.address, None, ServerState.READY)
         assert await outcome_of(nodes) is Outcome.DELIVERED
-        nodes.update("s", server.address, 5, ServerState.READY)
+        note(nodes, server.address, 5, ServerState.READY)
         await until(lambda: server.closed == 1)
         assert await outcome_of(nodes) is Outcome.DELIVERED
         assert len(server.writers) == 2
         other = FakeServer("s", served)
         await other.start()
-        nodes.update("s", other.address, 5, ServerState.READY)
+        note(nodes, other.address, 5, ServerState.READY)
         assert await outcome_of(nodes) is Outcome.DELIVERED
         assert len(other.requests) == 1
         server.stop()
@@ -478,7 +506,7 @@
         nodes = nodes_of(1.0, 1)
         for each in servers:
             await each.start()
-            nodes.update(each.name, each.address, None, ServerState.READY)
+            note(nodes, each.address, None, ServerState.READY, each.name)
         loop = asyncio.get_running_loop()
         ended: list[Outcome] = []
         nodes.send("a", a_call(), loop.time() + 30, lambda o, _: ended.append(o))
@@ -492,6 +520,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_node")
 def test_a_client_that_reads_nothing_neither_holds_up_others_nor_stays() -> None:
     async def scene() -> None:
         async with world(lambda *_: answer(200, bytes(60_000))) as w:
@@ -510,17 +539,18 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_nothing_is_sent_for_a_request_that_is_over_even_where_nothing_may_be_cancelled() -> None:
     # Guards rule 1: a dial that came up after the final answer would still write the request.
     async def scene() -> None:
         limits = {"max_attempts": 3, "may_cancel": False, "dial_timeout_us": 600 * S}
         with deaf() as address:
             async with world(served, limits=limits) as w:
-                w.sidecar._nodes.update("s-0", address, None, ServerState.READY)
-                _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
-                writer.write(request("pay", body=b"x", budget="600"))
+                w.sidecar._nodes.update("s-0", address, None, ServerState.READY, pair().nodes)
+                leaving = await client(w.sidecar.frontend.address)
+                leaving.send(request("pay", body=b"x", budget="600"))
                 await until(lambda: w.sidecar._nodes.slots.open == 1)
-                writer.close()
+                leaving.close()
                 await until(lambda: not w.sidecar._live and not w.sidecar._nodes.slots.open)
 
     play(scene())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -22,6 +22,7 @@
     return given | {"status": "active", "weight": 1.0, "since_ms": 0} | changes
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_the_watch_goes_on_from_the_known_list_and_again_at_once() -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -35,6 +36,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_changes_and_whole_lists_reach_the_balancer() -> None:
     async def scene() -> None:
         async with world(served, served) as w:
@@ -56,6 +58,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_server_that_restarted_is_cold_from_then_on() -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -78,6 +81,7 @@
         b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\n{",
     ],
 )
+@pytest.mark.usefixtures("each_pair")
 def test_a_failed_call_is_told_and_the_module_asks_again(bad: bytes) -> None:
     async def scene() -> None:
         async with world(served, rules={"ask_within_us": 1 * S}) as w:
@@ -126,6 +130,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_pushed_lists_are_read_without_being_asked_for() -> None:
     async def scene() -> None:
         async with world(served, discovery="pushed") as w:
@@ -175,6 +180,7 @@
     assert told.lines[0].server.state is state
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_new_server_at_a_former_one_s_address_takes_its_place() -> None:
     # The list may name the former one for seconds yet: what is sent to it would go to the new process, which
     # is cold, over connections that no process holds any more.
@@ -195,6 +201,7 @@
 
 
 @pytest.mark.parametrize("status", ["leaving", "left"])
+@pytest.mark.usefixtures("each_pair")
 def test_a_server_that_leaves_is_told_of_even_without_its_address(status: str) -> None:
     # Guards rule 3: skipped as junk, the entry would leave the server in use.
     async def scene() -> None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -11,7 +11,19 @@
 
 import pytest
 from helpers import settings
-from loopback import CLASSES, PATIENCE_S, answer, ask, is_closed, play, read_answer, request, until, world
+from loopback import (
+    CLASSES,
+    PATIENCE_S,
+    answer,
+    ask,
+    client,
+    is_closed,
+    play,
+    read_answer,
+    request,
+    until,
+    world,
+)
 
 from topazbank import balancer
 from topazbank.core.call import Answer, Hooks, Rulebook, Verdict
@@ -70,6 +82,7 @@
         (request(path="/apix/1"), 404),
     ],
 )
+@pytest.mark.usefixtures("each_node")
 def test_bad_input_is_answered_and_never_sent_on(data: bytes, status: int) -> None:
     async def scene() -> None:
         async with world(served, tenants=[{"name": "acme"}]) as w:
@@ -85,6 +98,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_node")
 def test_requests_on_one_connection_are_answered_in_order_even_if_sent_ahead() -> None:
     async def scene() -> None:
         async with world(lambda first, *_: answer(200, first.encode())) as w:
@@ -99,6 +113,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_node")
 def test_a_body_of_the_largest_size_in_pieces_is_taken() -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -115,6 +130,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_no_server_means_a_refusal_at_once_and_readiness_tells_of_the_process_alone() -> None:
     async def scene() -> None:
         async with world() as w:
@@ -127,6 +143,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_refusal_says_when_to_come_back() -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -140,6 +157,7 @@
 
 
 # Guards against a defect that would kill the process or leave its request without an answer.
+@pytest.mark.usefixtures("each_pair")
 def test_a_defect_fails_its_request_and_nothing_else(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -158,6 +176,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_defect_in_carrying_out_fails_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -170,6 +189,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_module_that_forgets_a_request_leaves_it_no_longer_than_its_time() -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -188,17 +208,18 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_clients_beyond_the_bound_take_the_place_of_those_at_rest() -> None:
     # Guards the descriptors: 66 sockets leave one for clients.
     async def scene() -> None:
         async with world(served, sockets=66) as w:
-            first, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
-            writer.write(request())
-            assert (await read_answer(first))[0] == 200
+            first = await client(w.sidecar.frontend.address)
+            first.send(request())
+            assert (await first.answer())[0] == 200
             for _ in range(3):
                 assert (await w.ask())[0] == 200
-            assert await is_closed(first)
-            writer.close()
+            assert await first.is_closed()
+            first.close()
 
     play(scene())
 
@@ -268,6 +289,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_defect_in_taking_a_request_fails_it(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -279,6 +301,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_node")
 def test_a_client_of_the_old_protocol_without_a_host_is_served() -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -288,19 +311,20 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_the_id_of_a_request_that_is_still_out_is_turned_away() -> None:
     async def scene() -> None:
         async with world(lambda *_: None) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
-            writer.write(request("pay", body=b"first"))
+            first = await client(w.sidecar.frontend.address)
+            first.send(request("pay", body=b"first"))
             await until(w.sent)
             assert (await w.ask(kind="pay", body=b"second"))[0] == 409
-            w.servers[0].writers[0].write(answer(200, b"the first's"))
-            assert (await read_answer(reader))[2] == b"the first's"
+            w.servers[0].answer_held(answer(200, b"the first's"))
+            assert (await first.answer())[2] == b"the first's"
             assert [body for _, _, body in w.sent()] == [b"first"]
             w.servers[0].script = served
             assert (await w.ask(kind="pay"))[0] == 200  # once it is over the id is free
-            writer.close()
+            first.close()
 
     play(scene())
 
@@ -355,6 +379,7 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_clients_that_say_nothing_do_not_keep_others_out() -> None:
     async def scene() -> None:
         async with world(served, sockets=80) as w:
@@ -369,31 +394,33 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_clients_that_ask_once_and_stay_leave_room_for_others() -> None:
     # Guards clients that hold few connections: what they keep without use would be all they have.
     async def scene() -> None:
         async with world(served, sockets=88) as w:
-            readers = []
+            staying = []
             for number in range(8):
-                reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
-                writer.write(request(X_Call_Id=f"{number}"))
-                assert (await read_answer(reader))[0] == 200
-                readers.append((reader, writer))
+                one = await client(w.sidecar.frontend.address)
+                one.send(request(X_Call_Id=f"{number}"))
+                assert (await one.answer())[0] == 200
+                staying.append(one)
             assert len(w.sidecar.frontend.connections) <= 4  # a third of the twelve allowed
-            assert await is_closed(readers[0][0])
-            for _, writer in readers:
-                writer.close()
+            assert await staying[0].is_closed()
+            for one in staying:
+                one.close()
 
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_new_connections_end_at_once_while_the_program_lags_under_many_and_are_taken_again_after() -> None:
     async def scene() -> None:
         async with world(lambda *_: None) as w:
             address = w.sidecar.frontend.address
-            held = [await asyncio.open_connection(*address) for _ in range(40)]
-            for number, (_, writer) in enumerate(held):
-                writer.write(request(X_Call_Id=f"held-{number}"))
+            held = [await client(address) for _ in range(40)]
+            for number, one in enumerate(held):
+                one.send(request(X_Call_Id=f"held-{number}"))
             await until(lambda: len(w.sent()) == len(held))
 
             def lags() -> bool:
@@ -403,8 +430,8 @@
             await until(lags)
             reader, _ = await asyncio.open_connection(*address)
             assert await is_closed(reader)
-            for _, writer in held:
-                writer.close()
+            for one in held:
+                one.close()
             await until(lambda: not w.sidecar.frontend._is_swamped())
             assert (await ask(address, request(path="/health/ready")))[0] == 200
 
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -21,14 +21,15 @@
     FakeServer,
     answer,
     ask,
-    is_closed,
+    client,
+    pair,
     play,
-    read_answer,
     request,
     until,
     world,
 )
 
+from standins.wire import HTTP
 from topazbank.__main__ import Flood
 from topazbank.core import driver
 from topazbank.core.net import Address
@@ -58,6 +59,8 @@
         sys.executable,
         "-m",
         "topazbank",
+        "--operator",
+        "deploy/operator.toml",
         cwd=ROOT,
         env=environ | {"RELAY_CONFIG": str(path)},
         stderr=asyncio.subprocess.PIPE,
@@ -95,6 +98,11 @@
     assert [flood.filter(each) for each in lines] == [True, True, True, False, False, True]
 
 
+def says_close(headers: dict[str, str]) -> bool:
+    """Whether an answer tells that its connection ends, where its protocol can tell."""
+    return pair().client != HTTP or headers["connection"] == "close"
+
+
 @contextlib.asynccontextmanager
 async def program(
     tmp_path: Path, server: FakeServer, discovery: FakeDiscovery | None = None
@@ -128,47 +136,48 @@
         discovery.stop()
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_on_sigterm_all_that_is_held_is_answered_and_the_program_ends(tmp_path: Path) -> None:
     async def scene() -> None:
         server = FakeServer("s-0", lambda first, *_: None if "held" in first else answer(200, b"served"))
         async with program(tmp_path, server) as (process, listen):
-            resting, resting_writer = await asyncio.open_connection(*listen)
-            resting_writer.write(request())
-            status, headers, _ = await read_answer(resting)
+            resting = await client(listen)
+            resting.send(request())
+            status, headers, _ = await resting.answer()
             assert status == 200 and "connection" not in headers
-            reader, writer = await asyncio.open_connection(*listen)
-            writer.write(request("pay", path="/api/held", body=b"x"))
+            holding = await client(listen)
+            holding.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held"))
             await until(lambda: len(server.requests) == 2)
 
             process.send_signal(signal.SIGTERM)
-            assert await is_closed(resting)
-            for each in server.writers:
-                if not each.is_closing():
-                    each.write(answer(200, b"held"))
-            status, headers, body = await read_answer(reader)
-            assert (status, headers["connection"], body) == (200, "close", b"held")
+            assert await resting.is_closed()
+            server.answer_held(answer(200, b"held"))
+            status, headers, body = await holding.answer()
+            assert (status, body) == (200, b"held") and says_close(headers)
             assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
-            for each in (resting_writer, writer):
+            for each in (resting, holding):
                 each.close()
 
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_after_sigterm_a_request_that_never_ends_is_failed_in_time(tmp_path: Path) -> None:
     async def scene() -> None:
         server = FakeServer("s-0", lambda *_: None)
         async with program(tmp_path, server) as (process, listen):
-            reader, writer = await asyncio.open_connection(*listen)
-            writer.write(request("pay", body=b"x", budget="500"))
+            holding = await client(listen)
+            holding.send(request("pay", body=b"x", budget="500"))
             await until(lambda: server.requests)
             process.send_signal(signal.SIGTERM)
-            assert (await read_answer(reader))[0] == 500
+            assert (await holding.answer())[0] == 500
             assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
-            writer.close()
+            holding.close()
 
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_a_drain_still_takes_connections_and_serves_those_just_opened(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -178,28 +187,28 @@
     async def scene() -> None:
         async with world(lambda *_: answer(200, b"served")) as w:
             listen = w.sidecar.frontend.address
-            rested, rested_writer = await asyncio.open_connection(*listen)
-            rested_writer.write(request())
-            assert (await read_answer(rested))[0] == 200
-            opened, opened_writer = await asyncio.open_connection(*listen)
+            rested = await client(listen)
+            rested.send(request())
+            assert (await rested.answer())[0] == 200
+            opened = await client(listen)
             await until(lambda: len(w.sidecar.frontend.connections) == 2)
             w.stop.set()
             # What is at rest is closed while a request that crosses it can still come again.
-            assert await is_closed(rested)
+            assert await rested.is_closed()
             assert (await ask(listen, request(path="/health/ready")))[0] == 503
             # What was just opened keeps its request, and so does what is opened now.
-            late, late_writer = await asyncio.open_connection(*listen)
-            for reader, writer in ((opened, opened_writer), (late, late_writer)):
-                writer.write(request())
-                status, headers, body = await read_answer(reader)
-                assert (status, headers["connection"], body) == (200, "close", b"served")
-                assert await is_closed(reader)
-                writer.close()
-            rested_writer.close()
+            for each in (opened, await client(listen)):
+                each.send(request())
+                status, headers, body = await each.answer()
+                assert (status, body) == (200, b"served") and says_close(headers)
+                assert await each.is_closed()
+                each.close()
+            rested.close()
 
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
 def test_on_sighup_discovery_is_asked_at_its_new_place_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     async def scene() -> None:
         old, first, second = FakeDiscovery(), FakeDiscovery(), FakeDiscovery()
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,55 @@
+"""The operator file: what it may say, and that each complaint names the field and what was wanted."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from topazbank.core.members import Dialects, Listed
+from topazbank.core.nodes import HTTP, MSGPACK_RPC
+from topazbank.interface import ListedServer
+from topazbank.operator import Operator, operator_from, read_operator
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_file_that_is_deployed_is_good_and_no_file_means_the_defaults() -> None:
+    assert read_operator(str(ROOT / "deploy" / "operator.toml")).msgpack_rpc.clients
+    assert read_operator(None) == operator_from({}) == Operator()
+
+
+@pytest.mark.parametrize(
+    ("text", "complaint"),
+    [
+        ("msgpack_rpc = 3", "msgpack_rpc: a table is wanted"),
+        ("[msgpack_rpc]\nclient = true", "msgpack_rpc.client: not known"),
+        ("[msgpack_rpc]\nclients = 1", "msgpack_rpc.clients: true or false is wanted, not 1"),
+        ("[msgpack_rpc]\nothers_per_connection = 0", "a whole number from 1 to 1024 is wanted, not 0"),
+        ("[msgpack_rpc]\nothers_per_connection = true", "a whole number from 1 to 1024 is wanted, not True"),
+        ("[nodes]\nprotocol = 'grpc'", "nodes.protocol: http or msgpack-rpc is wanted, not 'grpc'"),
+        ("[nodes.pods]\nseven = 'http'", "nodes.pods.seven: a pod's number is wanted"),
+        ("[nodes.pods]\n7 = 7", "nodes.pods.7: http or msgpack-rpc is wanted, not 7"),
+        ("[nodes.pods]\n7 = 'msgpack-rpc'", "msgpack_rpc.nodes is not true"),
+        ("nodes = ", "line 1"),
+        ("[news]", "news: not known"),
+    ],
+)
+def test_a_bad_file_is_named_with_its_field(text: str, complaint: str, tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text(text, encoding="utf-8")
+    with pytest.raises(ValueError) as bad:
+        read_operator(str(path))
+    assert complaint in str(bad.value) and str(bad.value).startswith(str(path))
+
+
+def test_an_entry_s_word_goes_before_its_pod_s_and_that_before_the_default() -> None:
+    text = "[msgpack_rpc]\nnodes = true\n[nodes.pods]\n7 = 'msgpack-rpc'"
+    operator = operator_from(tomllib.loads(text))
+    dialects = Dialects(operator.protocol, operator.pods)
+    in_pod, elsewhere = ListedServer("a", cell=7), ListedServer("b", cell=8)
+    assert dialects.of(Listed(in_pod, None)) == MSGPACK_RPC
+    assert dialects.of(Listed(elsewhere, None)) == HTTP
+    assert dialects.of(Listed(in_pod, None, HTTP)) == HTTP
+    assert dialects.of(Listed(elsewhere, None, "grpc")) == "grpc"
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -123,6 +123,7 @@
         self._text = text
         self._binary = binary
         self.draining = False
+        self.stopped = False  # whether no new connection is taken any more
         self._most = most
         self._most_at_rest = max(most // 3, 1)  # clients may keep for good what they will not use again
         # The connections of each phase and since when they are in it, the longest first; `_most` in all.
@@ -275,6 +276,7 @@
 
     def stop(self) -> None:
         """Take what waits, then listen no more."""
+        self.stopped = True
         if self._sock.fileno() >= 0:
             self._accept(_BACKLOG)
             if self._accepting:
--- /dev/null
+++ b/topazbank/msgpackrpc/front.py
@@ -0,0 +1,275 @@
+"""The MessagePack-RPC front: many calls at once on a connection, answered in any order.
+
+A connection that sends what can't be answered (noise, a duplicate of a live message id, a notification of a call)
+is broken: nothing more is read from it, what it has out is answered, and then it is closed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Iterator
+from functools import partial
+
+from topazbank.core.call import Answer, BadCall, Call, Verdict
+from topazbank.core.listener import ClientConnection, Frontend, Phase
+from topazbank.core.net import has_ended
+from topazbank.msgpackrpc.codec import Decoder, Junk, Message, Notification, Request, encode_response
+from topazbank.msgpackrpc.mapping import READY, read_call, write_answer, write_rejection
+
+log = logging.getLogger(__name__)
+
+CALLS_MOST = (
+    128  # calls out on one connection; beyond it nothing is taken, so a client can't fill the machine
+)
+_HIGH_WATER = 64 * 1024  # bytes of answers that wait for a slow reader before its next calls do
+WAITING_MOST = 1024 * 1024  # bytes of answers that may wait on one connection; beyond it the connection ends
+WAITING_IN_ALL = 8 * 1024 * 1024  # and on all: a machine may hold 32 MB
+_STUCK_S = 2.0  # a client that takes no answer for so long has gone
+_PACE = 64  # messages of one read that are taken in a turn of the loop, so that other connections have theirs
+_DROPPED_MOST = (
+    8 * 1024 * 1024
+)  # bytes read and dropped behind what broke a connection, so that its answer arrives
+
+
+class RpcConnection(ClientConnection):
+    """One MessagePack-RPC connection of a client."""
+
+    _waiting_in_all = 0  # bytes of answers that wait on connections whose clients read slowly
+
+    def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
+        super().__init__(frontend, sock)
+        self._decoder = Decoder()
+        self._calls: dict[int, Call] = {}  # those out, by message id; CALLS_MOST
+        self._coming: Iterator[Message] | None = (
+            None  # of the last read, those not taken yet; then none is read
+        )
+        self._turn: asyncio.Handle | None = None  # when they are
+        self._dropped = 0  # bytes behind what broke the connection
+        self._used = False  # whether it has carried a call
+        self._broken = False
+        self._waiting = 0  # of _waiting_in_all, this connection's
+        self._stuck: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        assert self._transport is not None
+        self._transport.set_write_buffer_limits(high=_HIGH_WATER)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self._unstick()
+        self._broken, self._coming = True, None
+        calls, self._calls = list(self._calls.values()), {}
+        for call in calls:
+            self._frontend.hooks.gone(call)
+
+    def eof_received(self) -> bool:
+        return False  # a client that closes has gone away
+
+    def is_idle(self) -> bool:
+        begun = self._calls or self._coming is not None or self._decoder.pending
+        return not begun and super().is_idle()
+
+    def time_up(self) -> None:
+        if self.phase is Phase.LEAVING:
+            self.abort()
+        elif self._decoder.pending:
+            self._break("half a message", BadCall(408, "the message took too long to come"))
+        elif self.is_idle():
+            self.close()
+
+    # -- What comes ------------------------------------------------------------------------------------
+
+    def data_received(self, data: bytes) -> None:
+        if self._broken:
+            self._dropped += len(data)
+            if self._dropped > _DROPPED_MOST:
+                self._pause_reading()
+            return
+        if not self._calls and has_ended(self._sock):
+            self.abort()  # its client has left while this waited here
+            return
+        self._coming = self._decoder.feed(data)
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Take the messages of the last read, as many as one turn and the bound on calls allow."""
+        self._turn = None
+        if self._coming is None or self._broken or self._stuck is not None:
+            return
+        taken = 0
+        try:
+            while len(self._calls) < CALLS_MOST and taken < _PACE:
+                message = next(self._coming, None)
+                if message is None:
+                    self._coming = None
+                    break
+                self._take(message)
+                taken += 1
+                if self._broken:
+                    return
+        except Junk as junk:
+            self._coming = None
+            self._break(str(junk), BadCall(413 if junk.too_long else 400, str(junk)), junk.msgid)
+            return
+        self._note_phase()
+        if self._coming is None:
+            self._resume_reading()
+        else:
+            self._pause_reading()
+            self._go_on_later()
+
+    def _go_on_later(self) -> None:
+        if self._coming is not None and self._turn is None and len(self._calls) < CALLS_MOST:
+            self._turn = asyncio.get_running_loop().call_soon(self._go_on)
+
+    def _take(self, message: Message) -> None:
+        if isinstance(message, Request):
+            self._request(message)
+        elif isinstance(message, Notification):
+            self._notified(message)
+        else:
+            self._break("a response from a client")
+
+    def _notified(self, message: Notification) -> None:
+        """A notification can't be answered, so it is never carried.
+
+        One that names a class of calls ends its connection: dropped in silence, its client would take a lodge
+        for sent.  Any other (a keep-alive, a hint) is passed over.
+        """
+        method = message.method
+        if type(method) is not bytes or method.decode("latin-1") in self._frontend.rules.classes:
+            self._break("a call sent as a notification")
+
+    def _request(self, request: Request) -> None:
+        msgid = request.msgid
+        if msgid in self._calls:
+            # Any answer to it would pass for the first one's.
+            self._break("a message id that is still out")
+            return
+        if request.method == READY.encode():
+            ready = self._frontend.hooks.ready()
+            self._write(
+                encode_response(msgid, None, {"ready": True})
+                if ready
+                else write_rejection(msgid, BadCall(503, "draining"))
+            )
+            return
+        try:
+            call = read_call(request, self._frontend.rules, partial(self._answer, msgid))
+            if self._frontend.stopped:
+                self._write(
+                    write_answer(msgid, Answer(Verdict.REFUSED))
+                )  # never sent on; another sidecar may
+                return
+            if self._frontend.hooks.is_out(call.ident):
+                raise BadCall(409, "envelope.id is that of another call, which is still out")
+        except BadCall as bad:
+            log.info("call rejected: %s", bad)
+            self._write(write_rejection(msgid, bad))
+            return
+        self._used = True
+        self._calls[msgid] = call
+        try:
+            self._frontend.hooks.taken(call)
+        except Exception:
+            log.exception("a call could not be handled")  # a defect: its call fails, no other
+            if msgid in self._calls:
+                self._calls.pop(msgid)
+                self._frontend.hooks.gone(call)
+                self._write(write_rejection(msgid, BadCall(500, "internal error")))
+
+    def _break(self, why: str, bad: BadCall | None = None, msgid: int | None = None) -> None:
+        """Read no more: what is out is answered, then the connection ends."""
+        if self._broken:
+            return
+        log.info("connection read no further: %s", why)
+        self._broken = True
+        self._coming = None
+        if bad is not None and msgid is None and self._decoder.pending:
+            msgid = self._decoder.open_msgid()
+        if bad is not None and msgid is not None and msgid not in self._calls:
+            self._write(write_rejection(msgid, bad))
+        self._settle()
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    # -- What goes -------------------------------------------------------------------------------------
+
+    def _answer(self, msgid: int, answer: Answer) -> None:
+        if self._calls.pop(msgid, None) is None:
+            return
+        self._write(write_answer(msgid, answer))
+        if self._broken:
+            self._settle()
+            return
+        if not self._calls:
+            self._note_phase()
+        self._go_on_later()
+
+    def _write(self, data: bytes) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        transport.write(data)
+        if self._stuck is not None:
+            self._count_waiting(transport.get_write_buffer_size())
+
+    def _count_waiting(self, size: int) -> None:
+        RpcConnection._waiting_in_all += size - self._waiting
+        self._waiting = size
+        if size > WAITING_MOST or RpcConnection._waiting_in_all > WAITING_IN_ALL:
+            log.info("connection ended: its client takes no answers")
+            self.abort()
+
+    def pause_writing(self) -> None:
+        """The client reads more slowly than it asks: its next calls wait in the kernel."""
+        self._pause_reading()
+        self._stuck = asyncio.get_running_loop().call_later(_STUCK_S, self.abort)
+        if self._transport is not None:
+            self._count_waiting(self._transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        self._unstick()
+        if self._broken:
+            self._settle()
+        elif self._coming is None:
+            self._resume_reading()
+        else:
+            self._go_on_later()
+
+    def _unstick(self) -> None:
+        RpcConnection._waiting_in_all -= self._waiting
+        self._waiting = 0
+        if self._stuck is not None:
+            self._stuck.cancel()
+            self._stuck = None
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    # -- Phases ----------------------------------------------------------------------------------------
+
+    def _note_phase(self) -> None:
+        """Note what the connection is about now."""
+        if self._calls or self._coming is not None:
+            phase = Phase.BEHIND if self._decoder.pending and self._coming is None else Phase.OPEN
+        elif self._decoder.pending or not self._used:
+            phase = Phase.WAITING
+        else:
+            phase = Phase.KEPT
+        self._frontend.move(self, phase)
+
+    def _settle(self) -> None:
+        """Of a connection that is read no more: end it once all its calls are answered."""
+        if self._calls:
+            self._frontend.move(self, Phase.OPEN)
+        elif self._transport is not None and not self._transport.is_closing():
+            # Our side ends, and what still comes is dropped: closing on unread bytes would reset the answers away.
+            self._frontend.move(self, Phase.LEAVING)
+            self._transport.write_eof()
--- a/topazbank/operator.py
+++ b/topazbank/operator.py
@@ -7,13 +7,25 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from topazbank.core.nodes import HTTP, PROTOCOLS
+from topazbank.core.nodes import HTTP, MSGPACK_RPC, PROTOCOLS
+
+
+@dataclass(frozen=True, slots=True)
+class MsgpackRpc:
+    """MessagePack-RPC: whether clients and nodes may speak it, and how many calls share a connection to a node."""
+
+    clients: bool = False
+    nodes: bool = False
+    lodges_per_connection: int = 32  # calls of unsafe classes: no other goes with them
+    others_per_connection: int = 4  # giving one up closes its connection under so many others, less one
+    connections_per_node: int = 64
 
 
 @dataclass(frozen=True, slots=True)
 class Operator:
     """All that the operator file sets."""
 
+    msgpack_rpc: MsgpackRpc = field(default_factory=MsgpackRpc)
     protocol: str = HTTP  # of nodes whose entry and pod do not say
     pods: Mapping[int, str] = field(default_factory=dict)
 
@@ -31,9 +43,21 @@
 
 def operator_from(given: Mapping[str, Any]) -> Operator:
     """Check what the file holds; a name that is not known is an error, since it would set nothing."""
-    top = _Table("", given, ("nodes",))
+    top = _Table("", given, ("msgpack_rpc", "nodes"))
+    rpc = top.table("msgpack_rpc", MsgpackRpc.__dataclass_fields__)
     nodes = top.table("nodes", ("protocol", "pods"))
-    return Operator(nodes.protocol("protocol", HTTP), nodes.pods("pods"))
+    made = MsgpackRpc(
+        clients=rpc.flag("clients"),
+        nodes=rpc.flag("nodes"),
+        lodges_per_connection=rpc.whole("lodges_per_connection", 32, 1, 1024),
+        others_per_connection=rpc.whole("others_per_connection", 4, 1, 1024),
+        connections_per_node=rpc.whole("connections_per_node", 64, 1, 4096),
+    )
+    operator = Operator(made, nodes.protocol("protocol", HTTP), nodes.pods("pods"))
+    named = {operator.protocol, *operator.pods.values()}
+    if MSGPACK_RPC in named and not made.nodes:
+        raise ValueError(f"nodes: {MSGPACK_RPC} is named, but msgpack_rpc.nodes is not true")
+    return operator
 
 
 class _Table:
