--- /dev/null
+++ b/tests/msgpackrpc/test_front.py
@@ -0,0 +1,344 @@
+"""The MessagePack-RPC front over loopback: many calls on a connection, and clients that misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+from loopback import (
+    PATIENCE_S,
+    Client,
+    World,
+    answer,
+    client,
+    is_closed,
+    pair,
+    play,
+    request,
+    until,
+    use,
+    world,
+)
+
+from standins.wire import MSGPACK_RPC, pack
+from topazbank.msgpackrpc import front
+from topazbank.msgpackrpc.front import CALLS_MOST, RpcConnection
+
+pytestmark = pytest.mark.usefixtures("rpc_client")
+
+
+@pytest.fixture(autouse=True)
+def rpc_client(each_node: str) -> None:
+    """Clients speak MessagePack-RPC; nodes each protocol in turn."""
+    use(type(pair())(MSGPACK_RPC, each_node))
+
+
+def served(*_: object) -> bytes:
+    return answer(200, b"served")
+
+
+def hung(*_: object) -> None:
+    return None
+
+
+def call(
+    msgid: int, kind: str = "look", ident: str | None = None, body: bytes = b"", **changes: Any
+) -> bytes:
+    envelope = {"id": ident or f"c-{msgid}", "budget": 30.0, "path": "/api/7f"} | changes
+    return pack([0, msgid, kind, [envelope, body]])
+
+
+async def answers(one: Client, count: int) -> dict[int, Any]:
+    """The next answers, whatever their order: message id to error or result."""
+    got: dict[int, Any] = {}
+    async with asyncio.timeout(PATIENCE_S):
+        while len(got) < count:
+            for message in one._unpacker:
+                assert message[1] not in got
+                got[message[1]] = message[2] if message[2] is not None else message[3]
+            if len(got) < count:
+                data = await one.reader.read(65536)
+                if not data:
+                    raise ConnectionResetError
+                one._unpacker.feed(data)
+    return got
+
+
+async def still_serves(w: World) -> bool:
+    return (await w.ask(X_Call_Id="another"))[0] == 200
+
+
+def test_calls_on_one_connection_are_answered_as_they_end() -> None:
+    async def scene() -> None:
+        async with world(
+            lambda first, *_: None if "held" in first else answer(200, first.split(" ")[1].encode())
+        ) as w:
+            one = await client(w.sidecar.frontend.address)
+            one.writer.write(
+                call(1, path="/api/held") + b"".join(call(n, path=f"/api/{n}") for n in range(2, 30))
+            )
+            got = await answers(one, 28)
+            assert {n: result["body"] for n, result in got.items()} == {
+                n: b"/api/%d" % n for n in range(2, 30)
+            }
+            w.servers[0].answer_held(answer(200, b"late"))
+            assert (await answers(one, 1))[1]["body"] == b"late"
+            one.close()
+
+    play(scene())
+
+
+def test_a_live_message_id_given_again_never_runs_and_the_first_one_gets_its_own_answer() -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            one = await client(w.sidecar.frontend.address)
+            one.writer.write(call(5, "pay", "first", b"1"))
+            await until(w.sent)
+            one.writer.write(call(5, "pay", "second", b"2") + call(6, "pay", "third", b"3"))
+            await until(lambda: all(each._broken for each in w.sidecar.frontend.connections))  # type: ignore[attr-defined]
+            w.servers[0].answer_held(answer(200, b"the first's"))
+            assert (await answers(one, 1))[5]["body"] == b"the first's"
+            assert await one.is_closed()
+            assert [body for _, _, body in w.sent()] == [b"1"]
+
+    play(scene())
+
+
+def test_a_message_id_may_be_used_again_once_it_is_answered() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            one = await client(w.sidecar.frontend.address)
+            for _ in range(3):
+                one.writer.write(call(2**32 - 1))
+                assert (await answers(one, 1))[2**32 - 1]["body"] == b"served"
+            one.close()
+
+    play(scene())
+
+
+def test_a_lodge_sent_as_a_notification_is_not_lost_in_silence() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            one = await client(w.sidecar.frontend.address)
+            one.writer.write(pack([2, "keep-alive", []]) + call(1))  # it asks for nothing, so nothing is lost
+            assert (await answers(one, 1))[1]["body"] == b"served"
+            one.writer.write(pack([2, "pay", [{"id": "x", "budget": 1.0}, b"body"]]))
+            assert await one.is_closed()
+            assert [headers["x-call-id"] for _, headers, _ in w.sent()] == ["c-1"]
+
+    play(scene())
+
+
+BAD: dict[str, tuple[bytes, int | None]] = {
+    "no MessagePack": (b"\xc1\xc1\xc1", None),
+    "2^31 entries": (b"\x94\x00\x07\xdd\x80\x00\x00\x00", 7),
+    "nesting of 10,000": (b"\x94\x00\x07" + b"\x91" * 10_000, 7),
+    "a string of 60 MB": (b"\x94\x00\x07\xdb" + (60_000_000).to_bytes(4, "big") + bytes(200_000), 7),
+    "a response": (pack([1, 7, None, None]), None),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_what_can_t_be_read_is_answered_if_it_can_be_and_its_connection_ends(name: str) -> None:
+    async def scene() -> None:
+        data, msgid = BAD[name]
+        async with world(served) as w:
+            one = await client(w.sidecar.frontend.address)
+            began = asyncio.get_running_loop().time()
+            one.writer.write(data)
+            if msgid is not None:
+                assert (await answers(one, 1))[msgid][0] in (400, 413)
+            assert await one.is_closed()
+            assert asyncio.get_running_loop().time() - began < 10.0  # 2 s here; generous for a slow machine
+            one.close()
+            assert await still_serves(w)
+            await until(lambda: not w.sidecar.frontend.connections)
+
+    play(scene())
+
+
+@pytest.mark.parametrize(
+    ("bad", "code"),
+    [
+        (call(7, budget=float("nan")), 400),
+        (call(7, budget=float("inf")), 400),
+        (call(7, budget=-1), 400),
+        (pack([0, 7, "look", [{"id": "a"}, {"x": b""}]]), 400),
+        (b"\x94\x00\x07\xa4look\x91\x82\xa2id\xa1x\xa2id\xa1y", 400),
+        (b"\x94\x00\x07\xa4look\x91\xd4\x05\x01", 400),
+        (pack([0, 7, "unheard-of", []]), 404),
+        (pack([0, 7, 3, None]), 400),
+        (call(7, path="/elsewhere"), 404),
+        (call(7, ident="held"), 409),
+        (call(7, "pay", body=bytes(64 * 1024) + b"x"), 413),
+    ],
+)
+def test_a_bad_call_is_answered_and_its_neighbours_feel_nothing(bad: bytes, code: int) -> None:
+    async def scene() -> None:
+        async with world(lambda first, *_: None if "held" in first else served()) as w:
+            one = await client(w.sidecar.frontend.address)
+            one.writer.write(call(1, "pay", "held", b"x", path="/api/held"))
+            await until(w.sent)
+            one.writer.write(bad)
+            assert (await answers(one, 1))[7][0] == code
+            if code != 413:
+                one.writer.write(call(8))
+                assert (await answers(one, 1))[8]["body"] == b"served"
+            assert await still_serves(w)
+            w.servers[0].answer_held(answer(200, b"held"))
+            assert (await answers(one, 1))[1]["body"] == b"held"
+            one.close()
+
+    play(scene())
+
+
+@pytest.mark.parametrize("msgid", [-1, -(2**31), 2**32, 2**64 - 1])
+def test_a_message_id_out_of_range_is_answered_under_itself(msgid: int) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            one = await client(w.sidecar.frontend.address)
+            one.writer.write(call(msgid))
+            assert (await answers(one, 1))[msgid][0] == 400
+            assert not w.sent()
+            one.close()
+
+    play(scene())
+
+
+def test_half_a_message_and_silence_end_the_connection_after_its_calls_are_answered() -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            one = await client(w.sidecar.frontend.address)
+            one.writer.write(call(1, "pay", body=b"x") + call(9)[:-5])
+            got = await answers(one, 1)  # the half one's, within its limit
+            assert got[9][0] == 408
+            w.servers[0].answer_held(answer(200, b"whole"))
+            assert (await answers(one, 1))[1]["body"] == b"whole"
+            assert await one.is_closed()
+            one.close()
+
+    play(scene())
+
+
+@pytest.mark.parametrize(
+    "said", [b"", b"\x94", b"\x94\x00\x07\xa4lo"], ids=["silent", "a byte", "half a message"]
+)
+def test_a_connection_that_says_no_more_is_ended(said: bytes) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            one = await client(w.sidecar.frontend.address)
+            one.writer.write(said)
+            if len(said) > 3:
+                assert (await answers(one, 1))[7][0] == 408
+            assert await one.is_closed()
+            one.close()
+            await until(lambda: not w.sidecar.frontend.connections)
+
+    play(scene())
+
+
+def test_a_client_that_closes_with_many_calls_out_leaves_nothing_behind() -> None:
+    async def scene() -> None:
+        async with world(hung, hung) as w:
+            one = await client(w.sidecar.frontend.address)
+            kinds = ("pay", "look")
+            one.writer.write(b"".join(call(n, kinds[n % 2], body=b"x" * (n % 2 == 0)) for n in range(40)))
+            await until(lambda: len(w.sent()) == 40)
+            one.close()
+            await until(lambda: not w.sidecar._live and not w.sidecar.frontend.connections)
+            await until(lambda: not w.sidecar._nodes.slots.open)  # given up means that connections are closed
+
+    play(scene())
+
+
+def test_calls_beyond_the_bound_of_a_connection_wait_and_all_are_answered() -> None:
+    async def scene() -> None:
+        async with world(hung, hung, sockets=1024) as w:
+            one = await client(w.sidecar.frontend.address)
+            many = CALLS_MOST + 100
+            one.writer.write(b"".join(call(n, "pay", body=b"x") for n in range(many)))
+            await until(lambda: len(w.sent()) == CALLS_MOST)
+            await asyncio.sleep(0.1)
+            assert len(w.sent()) == CALLS_MOST
+            for server in w.servers:
+                server.script = served
+                server.answer_held(answer(200, b"served"))
+            assert len(await answers(one, many)) == many
+            assert len({headers["x-call-id"] for _, headers, _ in w.sent()}) == len(w.sent()) == many
+            one.close()
+
+    play(scene())
+
+
+def test_a_client_that_reads_nothing_is_bounded_ended_and_holds_up_nobody(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(front, "WAITING_MOST", 512 * 1024)
+
+    async def scene() -> None:
+        async with world(lambda *_: answer(200, bytes(60_000)), sockets=1024) as w:
+            slow = socket.socket()
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            slow.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(slow, w.sidecar.frontend.address)
+            slow.send(b"".join(call(n) for n in range(100)))
+            await until(w.sent)
+            assert await still_serves(w)
+            await until(lambda: not w.sidecar.frontend.connections and not w.sidecar._live)
+            assert RpcConnection._waiting_in_all == 0
+            slow.close()
+
+    play(scene())
+
+
+def test_a_slow_reader_s_next_calls_wait_until_it_has_read() -> None:
+    async def scene() -> None:
+        async with world(lambda *_: answer(200, bytes(60_000)), sockets=1024) as w:
+            raw = socket.socket()
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            raw.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(raw, w.sidecar.frontend.address)
+            one = Client(*await asyncio.open_connection(sock=raw, limit=4096))
+            for n in range(60):  # 3.6 MB of answers, of which little fits on the way
+                one.writer.write(call(n))
+                if n % 20 == 19:
+                    assert len(await answers(one, 20)) == 20
+            one.close()
+
+    play(scene())
+
+
+def test_a_first_byte_tells_the_protocol_of_each_connection_on_the_one_listener() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            for number in range(6):
+                reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+                if number % 2:
+                    writer.write(call(number))
+                    assert (await asyncio.wait_for(reader.read(1), PATIENCE_S)) == b"\x94"
+                else:
+                    writer.write(request(X_Call_Id=f"h-{number}"))
+                    assert (await asyncio.wait_for(reader.read(8), PATIENCE_S)) == b"HTTP/1.1"
+                writer.close()
+
+    play(scene())
+
+
+def test_calls_that_still_come_when_a_drain_takes_no_more_are_refused_at_once() -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            one = await client(w.sidecar.frontend.address)
+            one.writer.write(call(1, "pay", body=b"x"))
+            await until(w.sent)
+            w.stop.set()
+            await until(lambda: w.sidecar.frontend.stopped)
+            one.writer.write(call(2, "pay", body=b"y"))
+            assert (await answers(one, 1))[2][:2] == [503, "refused"]
+            w.servers[0].answer_held(answer(200, b"held"))
+            assert (await answers(one, 1))[1]["body"] == b"held"
+            assert await is_closed(one.reader)
+            assert len(w.sent()) == 1
+
+    play(scene())
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -32,7 +32,7 @@
         ("[nodes.pods]\nseven = 'http'", "nodes.pods.seven: a pod's number is wanted"),
         ("[nodes.pods]\n7 = 7", "nodes.pods.7: http or msgpack-rpc is wanted, not 7"),
         ("[nodes.pods]\n7 = 'msgpack-rpc'", "msgpack_rpc.nodes is not true"),
-        ("nodes = ", "line 1"),
+        ("nodes = \nx = 1", "line 1"),
         ("[news]", "news: not known"),
     ],
 )
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -65,11 +65,13 @@
 class Clock:
     """Microseconds of Unix time, anchored once: monotonic, and comparable with discovery's `since_ms`."""
 
-    def __init__(self) -> None:
-        self._offset_us = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+    def __init__(self, monotonic_ns: Callable[[], int] = time.monotonic_ns) -> None:
+        """`monotonic_ns` reads the clock that the event loop keeps."""
+        self._monotonic_ns = monotonic_ns
+        self._offset_us = time.time_ns() // 1000 - monotonic_ns() // 1000
 
     def now(self) -> int:
-        return time.monotonic_ns() // 1000 + self._offset_us
+        return self._monotonic_ns() // 1000 + self._offset_us
 
     def on_loop(self, at_us: int) -> float:
         """A clock time as the event loop counts it."""
@@ -115,9 +117,9 @@
 class Sidecar:
     """One sidecar: a balancer and the sockets round it."""
 
-    def __init__(self, config: Config, wiring: Wiring) -> None:
+    def __init__(self, config: Config, wiring: Wiring, clock: Clock | None = None) -> None:
         self._settings = settings = config.settings
-        self._clock = Clock()
+        self._clock = clock or Clock()
         self._balancer = Balancer(settings, config.seed)
         self._live: dict[int, Live] = {}
         self._by_call: dict[Call, Live] = {}
--- a/topazbank/msgpackrpc/codec.py
+++ b/topazbank/msgpackrpc/codec.py
@@ -14,10 +14,11 @@
 
 import msgpack
 
+from topazbank.core.call import BODY_MOST
+
 REQUEST, RESPONSE, NOTIFICATION = 0, 1, 2
 MSGID_MOST = 2**32 - 1  # a message id is a 32-bit unsigned integer
 
-BODY_MOST = 64 * 1024  # bytes of one text or binary: a call's body
 MESSAGE_MOST = BODY_MOST + 16 * 1024  # bytes of one message: a body and its envelope
 _HELD_MOST = 2 * MESSAGE_MOST + 64 * 1024  # bytes held unparsed: a message less a byte, and one read
 _ARRAY_MOST = 64  # entries of any array; messages have four
@@ -95,11 +96,11 @@
             object_pairs_hook=_read_map,
             ext_hook=lambda code, data: EXTENSION,
             max_buffer_size=_HELD_MOST,
-            max_str_len=BODY_MOST,
-            max_bin_len=BODY_MOST,
+            max_str_len=MESSAGE_MOST,
+            max_bin_len=MESSAGE_MOST,
             max_array_len=_ARRAY_MOST,
             max_map_len=_MAP_MOST,
-            max_ext_len=BODY_MOST,
+            max_ext_len=MESSAGE_MOST,
         )
         self._fed = 0  # bytes of the stream so far
         self._begun_at = 0  # where in it the message that is not whole yet begins
--- a/topazbank/msgpackrpc/front.py
+++ b/topazbank/msgpackrpc/front.py
@@ -15,7 +15,15 @@
 from topazbank.core.call import Answer, BadCall, Call, Verdict
 from topazbank.core.listener import ClientConnection, Frontend, Phase
 from topazbank.core.net import has_ended
-from topazbank.msgpackrpc.codec import Decoder, Junk, Message, Notification, Request, encode_response
+from topazbank.msgpackrpc.codec import (
+    MSGID_MOST,
+    Decoder,
+    Junk,
+    Message,
+    Notification,
+    Request,
+    encode_response,
+)
 from topazbank.msgpackrpc.mapping import READY, read_call, write_answer, write_rejection
 
 log = logging.getLogger(__name__)
@@ -149,6 +157,9 @@
             # Any answer to it would pass for the first one's.
             self._break("a message id that is still out")
             return
+        if not 0 <= msgid <= MSGID_MOST:
+            self._write(write_rejection(msgid, BadCall(400, "msgid: a 32-bit unsigned number is wanted")))
+            return
         if request.method == READY.encode():
             ready = self._frontend.hooks.ready()
             self._write(
--- a/topazbank/msgpackrpc/mapping.py
+++ b/topazbank/msgpackrpc/mapping.py
@@ -73,6 +73,8 @@
             raise BadCall(400, f"envelope.{name.decode('latin-1')!r:.40}: a text or a number is wanted")
     if body is not None and type(body) is not bytes:
         raise BadCall(400, "body: a binary is wanted")
+    if body is not None and len(body) > BODY_MOST:
+        raise BadCall(413, f"body: {BODY_MOST} bytes at most are wanted")
     return envelope, body or b""
 
 
