Property tests: whole failures of a sidecar played on simulated sockets and time

Any split, order of responses, cut, full write buffer, drain or leaving client: one final answer each, no lodge twice by the nodes' own logs, never two attempts at once.

--- /dev/null
+++ b/tests/msgpackrpc/test_properties.py
@@ -0,0 +1,147 @@
+"""Any byte split, any order of responses, any cut: one final answer each, and no lodge twice by the nodes' own logs.
+
+TOPAZBANK_EXAMPLES=100000 runs as many fresh ones; docs/measurements/msgpack-rpc.md has the figures of such a run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from typing import Any
+
+from hypothesis import HealthCheck, given
+from hypothesis import settings as how
+from hypothesis import strategies as st
+from simulated import Played, PlayedLoop
+
+from topazbank.msgpackrpc.upstream import Sharing
+
+EXAMPLES = os.environ.get("TOPAZBANK_EXAMPLES")
+PROFILE = how(
+    max_examples=int(EXAMPLES or 400),
+    deadline=None,
+    derandomize=EXAMPLES is None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+small = st.integers(0, 5)
+pieces = st.sampled_from([1, 1, 2, 7, 1000])
+Step = tuple[Any, ...]
+steps = st.one_of(
+    st.tuples(st.just("call"), st.integers(0, 2), st.sampled_from(["pay", "look", "amend"]), pieces),
+    st.tuples(st.just("call"), st.integers(0, 2), st.sampled_from(["pay", "look", "amend"]), pieces),
+    st.tuples(st.just("burst"), st.integers(0, 2), st.integers(2, 9)),
+    st.tuples(
+        st.just("reply"),
+        small,
+        small,
+        st.sampled_from(
+            ["served", "served", "served", "rejected", "error", "spoilt", "wrong", "twice", "half", "silent"]
+        ),
+        pieces,
+    ),
+    st.tuples(st.just("cut"), small, small),
+    st.tuples(st.just("room"), small, st.sampled_from([0, 1, 30, 100, 10**6])),
+    st.tuples(st.just("crowded"), small, st.sampled_from([0, 10, 90, 200])),
+    st.tuples(st.just("wait"), st.sampled_from([0.0, 0.002, 0.05, 0.3, 1.0, 1.6])),
+    st.tuples(st.just("down"), small),
+    st.tuples(st.just("up"), small),
+    st.tuples(st.just("drain"), small),
+    st.tuples(st.just("leave"), small),
+)
+
+
+async def act(world: Played, step: Step) -> None:
+    """One step of a history."""
+    name, *given_ = step
+    if name == "wait":
+        await asyncio.sleep(given_[0])
+        return
+    if name in ("call", "burst", "leave"):
+        one = world.client(given_[0])
+        if name == "call":
+            one.call(given_[1], given_[2])
+        elif name == "burst":
+            for number in range(given_[1]):
+                one.call(("pay", "look", "amend")[number % 3], 1)
+        else:
+            one.leave()
+        return
+    node = world.nodes[given_[0] % len(world.nodes)]
+    if name == "reply":
+        node.reply(*given_[1:])
+    elif name == "cut":
+        node.cut(given_[1])
+    elif name == "room":
+        for wire in list(node.wires):
+            wire.give_room(given_[1])
+    elif name == "crowded":
+        node.room = given_[1]
+    elif name == "drain":
+        world.drain(node)
+    else:
+        node.up = name == "up"
+        if not node.up:
+            for wire in node.wires:
+                wire.abort()
+
+
+async def history(nodes: int, sharing: Sharing, script: list[Step]) -> list[str]:
+    world = Played(nodes, sharing)
+    try:
+        for step in script:
+            await act(world, step)
+            await asyncio.sleep(0)  # the loop has a turn, as it would between events of a real one
+        await world.settle()
+    finally:
+        world.close()
+    return world.broken
+
+
+def run(nodes: int, sharing: Sharing, script: list[Step]) -> list[str]:
+    with asyncio.Runner(loop_factory=PlayedLoop) as runner:
+        return runner.run(history(nodes, sharing, script))
+
+
+@PROFILE
+@given(
+    st.integers(1, 4),
+    st.builds(Sharing, st.integers(1, 4), st.integers(1, 4), st.integers(1, 6)),
+    st.lists(steps, min_size=3, max_size=30),
+)
+def test_every_history_keeps_the_rules(nodes: int, sharing: Sharing, script: list[Step]) -> None:
+    assert run(nodes, sharing, script) == []
+
+
+def test_the_judges_see_a_rule_that_is_broken() -> None:
+    # Guards the test above: a carrier that does not close what it gives up must be caught.
+    from topazbank.msgpackrpc.upstream import RpcNodeConnection
+
+    script: list[Step] = [("call", 0, "look", 1), ("wait", 0.002), ("call", 0, "look", 1), ("wait", 0.002)]
+    real = RpcNodeConnection.give_up
+
+    def keeps_open(self: RpcNodeConnection, attempt: Any, may_return: bool) -> None:
+        real(self, attempt, False)
+
+    async def scene() -> list[str]:
+        world = Played(2, Sharing(4, 4, 4))
+        try:
+            for step in script:
+                await act(world, step)
+            for live in list(world.sidecar._live.values()):
+                for attempt in list(live.out.values()):
+                    assert attempt is not None
+                    attempt.cancel(final=False)
+            await world.settle()
+        finally:
+            world.close()
+        return world.broken
+
+    for broken in (False, True):
+        RpcNodeConnection.give_up = keeps_open if broken else real  # type: ignore[method-assign]
+        try:
+            with asyncio.Runner(loop_factory=PlayedLoop) as runner:
+                assert ("two attempts at once" in runner.run(scene())) == broken
+        finally:
+            RpcNodeConnection.give_up = real  # type: ignore[method-assign]
