Calls of a client that left are all noted before one is given up; stronger histories

A history found it: a client leaves with two calls on one connection to a node. Giving up the first, half written, ended the connection; the second, never written, was sent elsewhere before its own end had been told. The front now tells the driver of all calls of a connection at once.

--- a/tests/msgpackrpc/simulated.py
+++ b/tests/msgpackrpc/simulated.py
@@ -23,7 +23,7 @@
 from topazbank.core.net import Address
 from topazbank.core.nodes import MSGPACK_RPC, Carrier, Slots
 from topazbank.http.front import HttpConnection
-from topazbank.interface import ListedServer, ListKind, Outcome, ServerState, Settings
+from topazbank.interface import Cancel, ListedServer, ListKind, Outcome, ServerState, Settings
 from topazbank.msgpackrpc.front import RpcConnection
 from topazbank.msgpackrpc.upstream import RpcCarrier, RpcNodeConnection, Sharing
 
@@ -339,6 +339,15 @@
         self.clients.append(made)
         return made
 
+    def give_up(self, index: int) -> None:
+        """Stop waiting for an attempt of a request that is open, as the decision module does with a silent one."""
+        lives = [live for live in self.sidecar._live.values() if live.out and not live.answered]
+        lives = [live for live in lives if live.call.kind.name != "pay"]
+        if lives:
+            live = lives[index % len(lives)]
+            self.sidecar._balancer._extra = 5.0  # so that its end draws again
+            self.sidecar._cancel(Cancel(live.ident, next(iter(live.out))))
+
     def drain(self, node: Node) -> None:
         node.drained = True
         server = ListedServer(node.name, "east", "m", 1, ServerState.DRAINING)
@@ -346,6 +355,10 @@
 
     async def settle(self) -> None:
         """Let all time pass that anything may take, and judge."""
+        await asyncio.sleep(0.01)
+        for node in self.nodes:
+            for wire in list(node.wires):
+                wire.give_room(_NO_END)  # what still waits somewhere comes out now
         await asyncio.sleep(BUDGET_S + 0.5)
         for each in self.clients:
             if not each.closing:
--- a/topazbank/core/call.py
+++ b/topazbank/core/call.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto, unique
 
@@ -93,7 +93,7 @@
     """What a front asks of the driver."""
 
     taken: Callable[[Call], None]
-    gone: Callable[[Call], None]
+    gone: Callable[[Sequence[Call]], None]  # the calls of one connection, all at once
     is_out: Callable[[str], bool]  # whether a request with this id is unanswered, or an attempt of it out
     ready: Callable[[], bool]
 
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -256,9 +256,12 @@
             )
         )
 
-    def _gone(self, call: Call) -> None:
-        live = self._by_call.pop(call, None)
-        if live is not None and not live.answered:
+    def _gone(self, calls: Sequence[Call]) -> None:
+        """Clients have left.  All are noted before any is told of: giving one up can end others' attempts."""
+        lives = [live for call in calls if (live := self._by_call.pop(call, None)) and not live.answered]
+        for live in lives:
+            live.answered = True
+        for live in lives:
             self._mark_answered(live)
             self.handle(RequestGone(live.ident))
 
--- a/topazbank/http/front.py
+++ b/topazbank/http/front.py
@@ -291,4 +291,4 @@
     def _client_gone(self) -> None:
         call, self._call = self._call, None
         if call is not None:
-            self._frontend.hooks.gone(call)
+            self._frontend.hooks.gone([call])
--- a/topazbank/msgpackrpc/front.py
+++ b/topazbank/msgpackrpc/front.py
@@ -70,8 +70,8 @@
         self._unstick()
         self._broken, self._coming = True, None
         calls, self._calls = list(self._calls.values()), {}
-        for call in calls:
-            self._frontend.hooks.gone(call)
+        if calls:
+            self._frontend.hooks.gone(calls)
 
     def eof_received(self) -> bool:
         return False  # a client that closes has gone away
@@ -189,7 +189,7 @@
             log.exception("a call could not be handled")  # a defect: its call fails, no other
             if msgid in self._calls:
                 self._calls.pop(msgid)
-                self._frontend.hooks.gone(call)
+                self._frontend.hooks.gone([call])
                 self._write(write_rejection(msgid, BadCall(500, "internal error")))
 
     def _break(self, why: str, bad: BadCall | None = None, msgid: int | None = None) -> None:
