--- a/tests/msgpackrpc/simulated.py
+++ b/tests/msgpackrpc/simulated.py
@@ -151,6 +151,7 @@
     def __init__(self, protocol: RpcNodeConnection, node: Node, room: int) -> None:
         super().__init__(protocol, room)
         self.node = node
+        self.garbled = False
         self.unpacker = msgpack.Unpacker(raw=False)
 
     def begins(self) -> None:
@@ -190,7 +191,8 @@
             return
         held = self.held.pop(index % len(self.held))
         if how == "rejected":
-            held.wire.say(pack([1, held.msgid, REJECTED, None]), pieces)
+            if not held.wire.garbled:
+                held.wire.say(pack([1, held.msgid, REJECTED, None]), pieces)
             return
         self.ran.append(held.ident)
         answers = {
@@ -202,7 +204,10 @@
             "half": pack([1, held.msgid, None, {"body": held.ident.encode()}])[:-3],
             "silent": b"",
         }
-        held.wire.say(answers[how], pieces)
+        if not held.wire.garbled:
+            held.wire.say(answers[how], pieces)
+        # What came behind half a response would be read as its end: no reader could tell.
+        held.wire.garbled = held.wire.garbled or how == "half"
 
     def cut(self, index: int) -> None:
         """Break one of its connections; what it holds of it may run on."""
--- a/topazbank/msgpackrpc/codec.py
+++ b/topazbank/msgpackrpc/codec.py
@@ -21,6 +21,7 @@
 
 MESSAGE_MOST = BODY_MOST + 16 * 1024  # bytes of one message: a body and its envelope
 _HELD_MOST = 2 * MESSAGE_MOST + 64 * 1024  # bytes held unparsed: a message less a byte, and one read
+_KEPT = 4 * 1024  # bytes of buffer that a connection at rest holds
 _ARRAY_MOST = 64  # entries of any array; messages have four
 _MAP_MOST = 64  # entries of any map
 _PREFIX = 16  # bytes of a message that are kept until its id can be read: its head needs 11
@@ -86,22 +87,28 @@
     return made if len(made) == len(pairs) else TWICE
 
 
+def _unpacker() -> msgpack.Unpacker:
+    return msgpack.Unpacker(
+        raw=True,
+        strict_map_key=False,  # _read_map looks at keys: an odd one spoils its own message alone
+        object_pairs_hook=_read_map,
+        ext_hook=lambda code, data: EXTENSION,
+        read_size=_KEPT,  # what its buffer begins with; by default it takes all that it may at once
+        max_buffer_size=_HELD_MOST,
+        max_str_len=MESSAGE_MOST,
+        max_bin_len=MESSAGE_MOST,
+        max_array_len=_ARRAY_MOST,
+        max_map_len=_MAP_MOST,
+        max_ext_len=MESSAGE_MOST,
+    )
+
+
 class Decoder:
     """Reads one direction of one connection."""
 
     def __init__(self) -> None:
-        self._unpacker = msgpack.Unpacker(
-            raw=True,
-            strict_map_key=False,  # _read_map looks at keys: an odd one spoils its own message alone
-            object_pairs_hook=_read_map,
-            ext_hook=lambda code, data: EXTENSION,
-            max_buffer_size=_HELD_MOST,
-            max_str_len=MESSAGE_MOST,
-            max_bin_len=MESSAGE_MOST,
-            max_array_len=_ARRAY_MOST,
-            max_map_len=_MAP_MOST,
-            max_ext_len=MESSAGE_MOST,
-        )
+        self._unpacker = _unpacker()
+        self._grown = False  # whether its buffer holds more than _KEPT
         self._fed = 0  # bytes of the stream so far
         self._begun_at = 0  # where in it the message that is not whole yet begins
         self._prefix = b""  # its first bytes
@@ -119,6 +126,7 @@
         if len(self._prefix) < _PREFIX:
             self._prefix += data[: _PREFIX - len(self._prefix)]
         self._fed += len(data)
+        self._grown = self._grown or self.pending > _KEPT
         try:
             self._unpacker.feed(data)
         except msgpack.BufferFull:
@@ -129,6 +137,9 @@
             except msgpack.OutOfData:
                 if self.pending > MESSAGE_MOST:
                     raise Junk("a message is too long", self.open_msgid(), True) from None
+                if self._grown and not self.pending:
+                    # A grown buffer is never given back: hundreds of connections would hold it for nothing.
+                    self._unpacker, self._grown, self._fed, self._begun_at = _unpacker(), False, 0, 0
                 return
             except (ValueError, RecursionError, MemoryError) as bad:
                 # FormatError, StackError and what breaks a bound are all ValueErrors.
