--- /dev/null
+++ b/standins/demo/__main__.py
@@ -0,0 +1,270 @@
+"""`make demo`: declarations through one sidecar while a node dies and another drains.
+
+Six lodge nodes of three speeds, three in a pod that speaks HTTP and three in one that speaks MessagePack-RPC, and
+clients of both protocols.  A third of the way in one node dies, later it comes back cold; at half time another
+drains.  The table at the end is made of what clients got and of the nodes' own logs.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections import Counter, defaultdict
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+from standins.clients import Caller, Wish, caller
+from standins.lodge import SPEEDS, Lodge, LodgeServer, Memory, RunLog
+from standins.registry import Registry
+from standins.wire import HTTP, MSGPACK_RPC, Address, Asked, place
+
+ROOT = Path(__file__).parent.parent.parent
+EXAMPLE = ROOT / "deploy" / "example.json"
+OPERATOR = ROOT / "deploy" / "operator.toml"
+PROTOCOLS = (HTTP, MSGPACK_RPC)
+KINDS = ("check", "amend", "lodge")
+WORK_S = {"check": 0.008, "amend": 0.012, "lodge": 0.020}  # on a standard machine
+RATE = 700  # calls a second, of both protocols together
+SLOTS = 2  # of each node: some seven tenths of what the six can do is asked for
+RPC_CONNECTIONS = 2  # that all MessagePack-RPC clients share
+HTTP_CONNECTIONS = 64
+
+
+def work(asked: Asked) -> float:
+    return WORK_S[asked.kind]
+
+
+class Fleet:
+    """The nodes and the registry that lists them."""
+
+    def __init__(self) -> None:
+        self.log = RunLog()
+        self.registry = Registry()
+        self.servers: dict[str, LodgeServer] = {}
+        self._memories = {protocol: Memory() for protocol in PROTOCOLS}
+
+    async def start(self) -> None:
+        await self.registry.start()
+        for pod, protocol in enumerate(PROTOCOLS, start=1):
+            for speed in SPEEDS:
+                await self.launch(f"{speed}-{pod}", protocol, pod, speed)
+
+    async def launch(self, name: str, protocol: str, pod: int, speed: str, cold_s: float = 0.0) -> None:
+        memory = self._memories[protocol]
+        lodge = Lodge(
+            name,
+            self.log,
+            time.monotonic,
+            SPEEDS[speed],
+            cold_s=cold_s,
+            slots=SLOTS,
+            work=work,
+            memory=memory,
+        )
+        server = LodgeServer(lodge, protocol, pod, speed)
+        server.started_ms = int(time.time() * 1000) if cold_s else 0
+        await server.start()
+        self.servers[name] = server
+        self.registry.put(server.entry())
+
+    def drain(self, name: str) -> None:
+        """The node says that it leaves, and takes nothing new from half a second later on."""
+        server = self.servers[name]
+        self.registry.put(server.entry(status="leaving"))
+        asyncio.get_running_loop().call_later(0.5, server.drain)
+
+    def stop(self) -> None:
+        for server in self.servers.values():
+            server.die()
+        self.registry.stop()
+
+
+@contextlib.asynccontextmanager
+async def sidecar(fleet: Fleet, folder: Path) -> AsyncIterator[Address]:
+    """The real program, with the example configuration made to fit; its log goes to a file in `folder`."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen: Address = free.getsockname()[:2]
+    given: dict[str, Any] = json.loads(EXAMPLE.read_text(encoding="utf-8"))
+    given |= {
+        "listen": place(listen),
+        "discovery": place(fleet.registry.address),
+        "known": fleet.registry.whole(),
+    }
+    path = folder / "config.json"
+    path.write_text(json.dumps(given), encoding="utf-8")
+    environ = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+    with open(folder / "sidecar.log", "wb") as log:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "topazbank",
+            "--operator",
+            str(OPERATOR),
+            cwd=ROOT,
+            env=environ | {"RELAY_CONFIG": str(path)},
+            stderr=log,
+        )
+    try:
+        async with asyncio.timeout(20.0):
+            while True:
+                with contextlib.suppress(OSError):
+                    _, writer = await asyncio.open_connection(*listen)
+                    writer.close()
+                    break
+                await asyncio.sleep(0.05)
+        yield listen
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGTERM)
+        await process.wait()
+
+
+class Clients:
+    """Calls of both protocols at a steady rate; what each got is counted."""
+
+    def __init__(self, target: Address, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._target = target
+        self._callers: dict[str, list[Caller]] = {
+            HTTP: [caller(HTTP, target) for _ in range(HTTP_CONNECTIONS)],
+            MSGPACK_RPC: [caller(MSGPACK_RPC, target) for _ in range(RPC_CONNECTIONS)],
+        }
+        self._out: set[asyncio.Task[None]] = set()
+        self.got: Counter[tuple[str, str, str]] = Counter()  # by protocol, class and verdict
+        self.of: dict[str, tuple[str, str]] = {}  # protocol and class by id
+        self.count = 0
+
+    async def send(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while loop.time() < began + seconds:
+            self.one()
+            await asyncio.sleep(max(began + self.count / RATE - loop.time(), 0))
+        await asyncio.gather(*self._out)
+
+    def one(self) -> None:
+        self.count += 1
+        protocol = PROTOCOLS[self.count % 2]
+        kind = self._random.choices(KINDS, (6, 1, 3))[0]
+        ident = f"{protocol[0]}{self.count:07x}"
+        key = f"key-{ident}" if kind == "amend" else None
+        body = b"" if kind == "check" else b"declaration " + ident.encode()
+        self.of[ident] = (protocol, kind)
+        wish = Wish(kind, ident, f"/api/{self._random.getrandbits(64):016x}", body, 2.0, None, key)
+        task = asyncio.get_running_loop().create_task(self._call(protocol, wish))
+        self._out.add(task)
+        task.add_done_callback(self._out.discard)
+
+    async def _call(self, protocol: str, wish: Wish) -> None:
+        callers = self._callers[protocol]
+        if protocol == HTTP:  # one call at a time on a connection: take one that is free, or a new one
+            one = callers.pop() if callers else caller(HTTP, self._target)
+        else:
+            one = callers[int(wish.ident[1:], 16) // 2 % len(callers)]
+        got = await one.call(wish)
+        if protocol == HTTP:
+            callers.append(one)
+        self.got[protocol, wish.kind, got.verdict] += 1
+
+    def close(self) -> None:
+        for callers in self._callers.values():
+            for each in callers:
+                each.close()
+
+
+async def troubles(fleet: Fleet, seconds: float) -> None:
+    """One node dies and comes back cold; one drains."""
+    await asyncio.sleep(seconds / 3)
+    dying = fleet.servers["fast-2"]
+    for _ in range(1000):  # 2 s at most, until it holds enough to show what becomes of it
+        if dying.lodge.held >= 3:
+            break
+        await asyncio.sleep(0.002)
+    say(f"fast-2 (msgpack-rpc) dies under {dying.lodge.held} calls")
+    dying.die()
+    await asyncio.sleep(seconds / 6)
+    say("slow-1 (http) says that it leaves")
+    fleet.drain("slow-1")
+    await asyncio.sleep(seconds / 6)
+    say("fast-2 is back, cold")
+    await fleet.launch("fast-2", MSGPACK_RPC, 2, "fast", cold_s=5.0)
+
+
+def say(text: str) -> None:
+    print(f"  {text}", flush=True)
+
+
+async def progress(clients: Clients, fleet: Fleet) -> None:
+    before: Counter[str] = Counter()
+    for second in range(1, 10_000):
+        await asyncio.sleep(1.0)
+        now: Counter[str] = Counter()
+        for (_, _, verdict), count in clients.got.items():
+            now[verdict] += count
+        new = now - before
+        told = ", ".join(
+            f"{new[each]} {each}" for each in ("served", "refused", "failed", "lost") if new[each]
+        )
+        print(f"{second:>3} s: {told}; {len(fleet.log.runs)} runs so far", flush=True)
+        before = now
+
+
+def table(clients: Clients, fleet: Fleet) -> list[str]:
+    """By class and the clients' protocol; `resent` and `run twice` are counted from the nodes' logs."""
+    resent: dict[tuple[str, str], int] = defaultdict(int)
+    for ident, count in fleet.log.arrived.items():
+        resent[clients.of[ident]] += count - 1
+    twice: dict[tuple[str, str], int] = defaultdict(int)
+    for effect in fleet.log.twice(("lodge", "amend")):
+        twice[clients.of[effect.removeprefix("key-")]] += 1
+    heads = ("served", "refused", "failed", "lost", "resent", "run twice")
+    lines = [f"{'class':<8}{'clients':<14}" + "".join(f"{head:>11}" for head in heads)]
+    for kind in KINDS:
+        for protocol in PROTOCOLS:
+            counts = [clients.got[protocol, kind, verdict] for verdict in heads[:4]]
+            counts += [resent[protocol, kind], twice[protocol, kind]]
+            lines.append(f"{kind:<8}{protocol:<14}" + "".join(f"{count:>11}" for count in counts))
+    return lines
+
+
+async def run(seconds: float, seed: int) -> int:
+    fleet = Fleet()
+    await fleet.start()
+    with tempfile.TemporaryDirectory() as folder:
+        async with sidecar(fleet, Path(folder)) as listen:
+            print(f"sidecar at {place(listen)}; {RATE} calls a second for {seconds:g} s")
+            clients = Clients(listen, seed)
+            showing = asyncio.create_task(progress(clients, fleet))
+            trouble = asyncio.create_task(troubles(fleet, seconds))
+            await clients.send(seconds)
+            showing.cancel()
+            await trouble
+            clients.close()
+    fleet.stop()
+    print("\n".join(table(clients, fleet)))
+    lost = sum(count for (_, _, verdict), count in clients.got.items() if verdict == "lost")
+    twice = len(fleet.log.twice(("lodge", "amend")))
+    print(f"{clients.count} calls, {lost} lost, {twice} lodges or amends run twice")
+    return 1 if lost or twice else 0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="standins.demo", description=__doc__)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--seed", type=int, default=1)
+    given = parser.parse_args()
+    return asyncio.run(run(given.seconds, given.seed))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/lodge/model.py
+++ b/standins/lodge/model.py
@@ -36,6 +36,7 @@
 
     def __init__(self, file: IO[str] | None = None) -> None:
         self.runs: list[Run] = []
+        self.arrived: Counter[str] = Counter()  # requests that reached a node, by id, run or not
         self._file = file
 
     def begin(self, run: Run) -> None:
@@ -112,6 +113,7 @@
     async def serve(self, asked: Asked) -> Reply | None:
         """Run a request, or turn it away; None is silence, from a node that has fallen over."""
         work = self.work(asked)
+        self.log.arrived[asked.ident] += 1
         self._offer(work)
         if self.fallen:
             return None
@@ -125,9 +127,13 @@
             return await self._run(asked, key, work)
         reply: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self.memory.keep(key, self.clock(), reply)
-        made = await self._run(asked, key, work)
-        reply.set_result(made)
-        return made
+        made = Reply(200, f"{self.name} did {asked.kind} {asked.ident}".encode())
+        try:
+            made = await self._run(asked, key, work)
+            return made
+        finally:
+            # A process that dies under the run has had its effect, and the pod remembers that.
+            reply.set_result(made)
 
     async def _run(self, asked: Asked, key: str | None, work: float) -> Reply:
         self.held += 1
