--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -12,14 +12,14 @@
 import time
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
 from topazbank.balancer import Balancer
 from topazbank.core.call import FAILED, Answer, Call, Hooks, Response, Rulebook, Verdict
 from topazbank.core.listener import Frontend, Speaks
-from topazbank.core.members import Dialects, Listed, Source, Told
+from topazbank.core.members import Dialects, Source, Told
 from topazbank.core.net import Address
 from topazbank.core.nodes import HTTP, Attempt, Carrier, Nodes, Slots
 from topazbank.interface import (
@@ -360,25 +360,23 @@
 
     def _list(self, kind: ListKind, told: Told) -> None:
         """Note the addresses first: the balancer may send on hearing of a server."""
-        protocols = [self._protocol(line) for line in told.lines]
+        protocols = [self._dialects.of(line) for line in told.lines]
         if kind is not ListKind.CHANGES:
             self._nodes.retain({line.server.server for line in told.lines})
+        servers = []
         for line, protocol in zip(told.lines, protocols, strict=True):
             server = line.server
+            if not self._nodes.speaks(protocol):
+                server, protocol = self._not_spoken(server, protocol), HTTP
             self._nodes.update(server.server, line.address, server.started_at, server.state, protocol)
-        servers = [line.server for line in told.lines]
+            servers.append(server)
         servers += [ListedServer(name, state=ServerState.GONE) for name in self._nodes.displace()]
         self.handle(ServersListed(kind, servers, told.version))
 
-    def _protocol(self, line: Listed) -> str:
-        """What a node speaks; one that nothing here can speak to takes nothing new."""
-        protocol = self._dialects.of(line)
-        if self._nodes.speaks(protocol):
-            return protocol
-        server = line.server
+    @staticmethod
+    def _not_spoken(server: ListedServer, protocol: str) -> ListedServer:
+        """A node that nothing here can speak to takes nothing new."""
         log.warning(
             "%s speaks %.40r, which is not spoken here: nothing new goes there", server.server, protocol
         )
-        if server.state is ServerState.READY:
-            server.state = ServerState.DRAINING
-        return HTTP
+        return replace(server, state=ServerState.DRAINING) if server.state is ServerState.READY else server
