--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -20,7 +20,7 @@
 from topazbank.core.driver import Config, Sidecar
 from topazbank.core.net import Address
 from topazbank.membership.registry import parse_list
-from topazbank.operator import MsgpackRpc, Operator
+from topazbank.operator import Membership, MsgpackRpc, Operator
 from topazbank.wiring import wire
 
 PATIENCE_S = 20.0  # for what must come; no test takes it as proof of anything
@@ -219,18 +219,24 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    *scripts: Callable[[str, Head, bytes], bytes | None], sockets: int = 256, **changes: Any
+    *scripts: Callable[[str, Head, bytes], bytes | None],
+    sockets: int = 256,
+    membership: Membership | None = None,
+    **changes: Any,
 ) -> AsyncIterator[World]:
-    """A world with one server for each script."""
+    """A world with one server for each script; with other membership than the registry none is known at first."""
     servers = [FakeServer(f"s-{number}", script) for number, script in enumerate(scripts)]
     discovery = FakeDiscovery()
     for server in servers:
         await server.start()
     await discovery.start()
     given = settings(**{"classes": CLASSES, "limits": LIMITS, **changes})
-    known = parse_list({"index": 41, "snapshot": True, "endpoints": [each.entry() for each in servers]})
+    entries = [each.entry() for each in servers] if membership is None else []
+    known = parse_list({"index": 41, "snapshot": True, "endpoints": entries})
     config = Config(("127.0.0.1", 0), discovery.address, 7, sockets, given, known)
-    operator = Operator(MsgpackRpc(clients=True, nodes=True))
+    operator = Operator(
+        MsgpackRpc(clients=True, nodes=True), membership=membership or Membership(), show_roster=True
+    )
     made = World(Sidecar(config, wire(operator)), servers, discovery)
     running = asyncio.create_task(made.sidecar.run(made.stop))
     await until(lambda: made.sidecar._balancer._begun)
--- a/tests/msgpackrpc/simulated.py
+++ b/tests/msgpackrpc/simulated.py
@@ -19,7 +19,7 @@
 from standins.wire import pack
 from topazbank.core.driver import Clock, Config, Sidecar, Wiring
 from topazbank.core.listener import Frontend
-from topazbank.core.members import Dialects, Listed, Told
+from topazbank.core.members import Dialects, Listed, Standing, Told
 from topazbank.core.net import Address
 from topazbank.core.nodes import MSGPACK_RPC, Carrier, Slots
 from topazbank.http.front import HttpConnection
@@ -288,6 +288,12 @@
 
     def stop(self) -> None: ...
 
+    def standing(self) -> tuple[Standing, ...]:
+        return ()
+
+    def source_of(self, name: str) -> str:
+        return "played"
+
 
 class Played:
     """One sidecar with its nodes and clients."""
@@ -320,7 +326,7 @@
             Told(1, True, lines),
         )
         wiring = Wiring(
-            HttpConnection, RpcConnection, carriers, lambda *_: _NoSource(), Dialects(MSGPACK_RPC)
+            HttpConnection, RpcConnection, carriers, lambda *_: _NoSource(), dialects=Dialects(MSGPACK_RPC)
         )
         self.sidecar = Sidecar(config, wiring, Clock(lambda: int(loop.time() * 1e9)))
         self.sidecar._list(ListKind.REMEMBERED, config.known)
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -51,24 +51,40 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler])
 
 
-async def serve(config: Config, operator: Operator) -> None:
+async def serve(config: Config, operator: Operator, operator_file: str | None) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, stop.set)
-    sidecar = Sidecar(config, wire(operator))
-    loop.add_signal_handler(signal.SIGHUP, reread, sidecar)
-    await sidecar.run(stop)
+    running = Running(Sidecar(config, wire(operator)), operator, operator_file)
+    loop.add_signal_handler(signal.SIGHUP, running.reread)
+    await running.sidecar.run(stop)
 
 
-def reread(sidecar: Sidecar) -> None:
-    """Turn to the configuration as it is now; a bad one changes nothing."""
-    try:
-        config = read_config(os.environ)
-    except BAD_CONFIG as bad:
-        log.error("the configuration stays as it was: %s", str(bad).replace("\n", " "))
-    else:
-        sidecar.move_discovery(config.discovery)
+class Running:
+    """The sidecar and the operator's settings that it runs by."""
+
+    def __init__(self, sidecar: Sidecar, operator: Operator, operator_file: str | None) -> None:
+        self.sidecar = sidecar
+        self._operator = operator
+        self._operator_file = operator_file
+
+    def reread(self) -> None:
+        """Turn to the files as they are now: discovery may have moved, and the list's sources; all else stays.
+
+        A bad file changes nothing.
+        """
+        try:
+            operator = read_operator(self._operator_file)
+            config = read_config(os.environ)
+        except BAD_CONFIG as bad:
+            log.error("the configuration stays as it was: %s", str(bad).replace("\n", " "))
+            return
+        if operator.membership == self._operator.membership:
+            self.sidecar.move_discovery(config.discovery)
+        else:
+            self.sidecar.replace_source(config, wire(operator))
+        self._operator = operator
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -90,7 +106,7 @@
     gc.freeze()  # what is loaded by now stays; collections look at requests alone
     gc.set_threshold(*_COLLECTED)
     try:
-        asyncio.run(serve(config, operator))
+        asyncio.run(serve(config, operator, given.operator))
     except OSError as fault:
         print(f"can't serve: {fault}", file=sys.stderr)
         return 1
--- a/topazbank/core/call.py
+++ b/topazbank/core/call.py
@@ -96,6 +96,7 @@
     gone: Callable[[Sequence[Call]], None]  # the calls of one connection, all at once
     is_out: Callable[[str], bool]  # whether a request with this id is unanswered, or an attempt of it out
     ready: Callable[[], bool]
+    roster: Callable[[], bytes] | None = None  # the list as it stands, as JSON; None: nobody may ask
 
 
 class Rulebook:
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import json
 import logging
 import time
 from collections import deque
@@ -111,6 +112,7 @@
     binary: Speaks | None
     carriers: Callable[[Settings, Slots], Mapping[str, Carrier]]
     source: Callable[[Config, Callable[[Told | None], None]], Source]
+    show_roster: bool = False  # whether clients may ask for the list as it stands
     dialects: Dialects = field(default_factory=Dialects)
 
 
@@ -133,8 +135,11 @@
             self._nodes.add(protocol, carrier)
         self._known = config.known
         self._dialects = wiring.dialects
-        self._discovery = wiring.source(config, self._told)
-        hooks = Hooks(self._taken, self._gone, self._out.__contains__, self._is_ready)
+        self._told_at: dict[str, float] = {}  # when each node that is listed was last told of
+        self._source_of_list = 0  # counts the sources: what a former one tells late is not heard
+        self._discovery = self._make_source(config, wiring)
+        roster = self._show_roster if wiring.show_roster else None
+        hooks = Hooks(self._taken, self._gone, self._out.__contains__, self._is_ready, roster)
         self.frontend = Frontend(config.listen, half, hooks, Rulebook(settings), wiring.text, wiring.binary)
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
@@ -169,6 +174,24 @@
         log.info("discovery is at %s:%d now", *address)
         self._discovery.move(address)
 
+    def replace_source(self, config: Config, wiring: Wiring) -> None:
+        """Turn to another source of the list; the list as it is holds until the new one has told a whole one."""
+        log.info("the list comes from other sources now")
+        self._discovery.stop()
+        self._dialects = wiring.dialects
+        self._discovery = self._make_source(config, wiring)
+        self._discovery.follow(True)
+
+    def _make_source(self, config: Config, wiring: Wiring) -> Source:
+        self._source_of_list += 1
+        number = self._source_of_list
+
+        def told(what: Told | None) -> None:
+            if number == self._source_of_list:
+                self._told(what)
+
+        return wiring.source(config, told)
+
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -363,6 +386,7 @@
         protocols = [self._dialects.of(line) for line in told.lines]
         if kind is not ListKind.CHANGES:
             self._nodes.retain({line.server.server for line in told.lines})
+        self._note_told(kind, told)
         servers = []
         for line, protocol in zip(told.lines, protocols, strict=True):
             server = line.server
@@ -373,6 +397,42 @@
         servers += [ListedServer(name, state=ServerState.GONE) for name in self._nodes.displace()]
         self.handle(ServersListed(kind, servers, told.version))
 
+    def _note_told(self, kind: ListKind, told: Told) -> None:
+        now = asyncio.get_running_loop().time()
+        if kind is not ListKind.CHANGES:
+            self._told_at.clear()
+        for line in told.lines:
+            if line.server.state is ServerState.GONE:
+                self._told_at.pop(line.server.server, None)
+            else:
+                self._told_at[line.server.server] = now
+
+    def _show_roster(self) -> bytes:
+        """The list as it stands: each node's state, address and protocol, whose word that is and how old."""
+        now = asyncio.get_running_loop().time()
+        nodes = [
+            {
+                "name": each.name,
+                "state": each.state.value,
+                "address": f"{each.address[0]}:{each.address[1]}",
+                "protocol": each.protocol,
+                "source": self._discovery.source_of(each.name),
+                "age_s": round(now - self._told_at.get(each.name, now), 3),
+            }
+            for each in self._nodes.endpoints.values()
+        ]
+        sources = [
+            {
+                "source": each.source,
+                "can_know": each.can_know,
+                "age_s": None if each.heard_at is None else round(now - each.heard_at, 3),
+            }
+            for each in self._discovery.standing()
+        ]
+        return json.dumps(
+            {"sources": sources, "nodes": sorted(nodes, key=lambda each: str(each["name"]))}
+        ).encode()
+
     @staticmethod
     def _not_spoken(server: ListedServer, protocol: str) -> ListedServer:
         """A node that nothing here can speak to takes nothing new."""
--- a/topazbank/core/members.py
+++ b/topazbank/core/members.py
@@ -29,6 +29,15 @@
     lines: list[Listed]
 
 
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """What a source can say of itself."""
+
+    source: str
+    can_know: bool  # whether it is in touch with whoever knows
+    heard_at: float | None  # when it last was, on the event loop's clock; None: never
+
+
 class Source(Protocol):
     """A membership source; it tells each list, or None for a call that failed, to whoever made it."""
 
@@ -43,6 +52,12 @@
 
     def stop(self) -> None: ...
 
+    def standing(self) -> tuple[Standing, ...]:
+        """Whether it can know, and how old its word is; several, where it is made of several."""
+
+    def source_of(self, name: str) -> str:
+        """By whose word a node stands as it does."""
+
 
 @dataclass(frozen=True, slots=True)
 class Dialects:
--- a/topazbank/http/front.py
+++ b/topazbank/http/front.py
@@ -29,6 +29,7 @@
 log = logging.getLogger(__name__)
 
 _READY_PATH = b"/health/ready"
+_ROSTER_PATH = b"/admin/roster"
 # Bytes read and dropped of what comes after a rejection, so that its answer arrives.
 _DROPPED_MOST = 128 * BODY_MOST
 _REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed"}
@@ -221,6 +222,8 @@
         path = head.target.partition(b"?")[0]
         if path == _READY_PATH:
             self._answer(200 if self._frontend.hooks.ready() else 503, [], b"")
+        elif path == _ROSTER_PATH and self._frontend.hooks.roster is not None:
+            self._answer(200, [(b"Content-Type", b"application/json")], self._frontend.hooks.roster())
         elif path != API_PATH and not path.startswith(API_PATH + b"/"):
             raise BadCall(404, "no such path")
         else:
--- a/topazbank/membership/registry.py
+++ b/topazbank/membership/registry.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from topazbank.core.members import Listed, Told
+from topazbank.core.members import Listed, Standing, Told
 from topazbank.core.net import Address, parse_address
 from topazbank.http.connection import Connection, HttpResponse, connect, message
 from topazbank.interface import ListedServer, ServerState
@@ -78,6 +78,8 @@
         self._version: int | None = version  # None: the whole list is needed, whatever was heard before
         self._told = told
         self._stopped = False
+        self._heard_at: float | None = None
+        self._failed = False  # whether the last call was in vain
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[bool]] = set()  # as many as the balancer asks for, each for _CALL_S
 
@@ -106,6 +108,12 @@
         self._stopped = True
         self._end_watch()
 
+    def standing(self) -> tuple[Standing, ...]:
+        return (Standing("registry", not self._failed and self._heard_at is not None, self._heard_at),)
+
+    def source_of(self, name: str) -> str:
+        return "registry"
+
     def _end_watch(self) -> None:
         if self._watch is not None:
             self._watch.cancel()
@@ -135,6 +143,9 @@
                 self._version = told.version
         except (OSError, ValueError, TimeoutError) as fault:
             log.warning("discovery: %s", fault or type(fault).__name__)
+        self._failed = told is None
+        if told is not None:
+            self._heard_at = asyncio.get_running_loop().time()
         self._told(told)
         return told is not None
 
--- a/topazbank/membership/zookeeper.py
+++ b/topazbank/membership/zookeeper.py
@@ -13,9 +13,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from topazbank.core.members import Told
+from topazbank.core.members import Standing, Told
 from topazbank.core.net import Address
-from topazbank.membership.roster import Roster, Step
+from topazbank.membership.roster import Knowledge, Roster, Step
 from topazbank.membership.zkclient import Disconnected, Ensemble, Session, State, ZkError
 from topazbank.membership.zkwire import Code, Happened
 
@@ -68,6 +68,13 @@
         if self._wake is not None:
             self._wake.cancel()
 
+    def standing(self) -> tuple[Standing, ...]:
+        live = self.roster.knowledge is Knowledge.LIVE
+        return (Standing("zookeeper", live, self._now() if live else self.roster.heard_at),)
+
+    def source_of(self, name: str) -> str:
+        return "zookeeper"
+
     # -- Session and watches ---------------------------------------------------------------------------
 
     def _now(self) -> float:
--- a/topazbank/operator.py
+++ b/topazbank/operator.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from topazbank.core.net import Address, parse_address
 from topazbank.core.nodes import HTTP, MSGPACK_RPC, PROTOCOLS
 
 
@@ -21,6 +22,29 @@
     connections_per_node: int = 64
 
 
+REGISTRY, ZOOKEEPER = "registry", "zookeeper"
+SOURCES = (REGISTRY, ZOOKEEPER)
+
+
+@dataclass(frozen=True, slots=True)
+class ZooKeeper:
+    """The ensemble that keeps the roster."""
+
+    members: tuple[Address, ...] = ()
+    path: str = "/lodge/nodes"
+    chroot: str = ""
+    session_timeout_s: float = 6.0
+    secret: str = field(default="", repr=False)  # digest authentication, user:password; never logged
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """Where the list of nodes comes from."""
+
+    sources: tuple[str, ...] = (REGISTRY,)  # in their precedence
+    zookeeper: ZooKeeper = field(default_factory=ZooKeeper)
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """All that the operator file sets."""
@@ -28,6 +52,8 @@
     msgpack_rpc: MsgpackRpc = field(default_factory=MsgpackRpc)
     protocol: str = HTTP  # of nodes whose entry and pod do not say
     pods: Mapping[int, str] = field(default_factory=dict)
+    membership: Membership = field(default_factory=Membership)
+    show_roster: bool = False  # GET /admin/roster on the one listener
 
 
 def read_operator(path: str | None) -> Operator:
@@ -43,7 +69,8 @@
 
 def operator_from(given: Mapping[str, Any]) -> Operator:
     """Check what the file holds; a name that is not known is an error, since it would set nothing."""
-    top = _Table("", given, ("msgpack_rpc", "nodes"))
+    top = _Table("", given, ("msgpack_rpc", "nodes", "membership", "admin"))
+    admin = top.table("admin", ("roster",))
     rpc = top.table("msgpack_rpc", MsgpackRpc.__dataclass_fields__)
     nodes = top.table("nodes", ("protocol", "pods"))
     made = MsgpackRpc(
@@ -53,13 +80,34 @@
         others_per_connection=rpc.whole("others_per_connection", 4, 1, 1024),
         connections_per_node=rpc.whole("connections_per_node", 64, 1, 4096),
     )
-    operator = Operator(made, nodes.protocol("protocol", HTTP), nodes.pods("pods"))
+    default, pods = nodes.protocol("protocol", HTTP), nodes.pods("pods")
+    operator = Operator(made, default, pods, _membership(top), admin.flag("roster"))
     named = {operator.protocol, *operator.pods.values()}
     if MSGPACK_RPC in named and not made.nodes:
         raise ValueError(f"nodes: {MSGPACK_RPC} is named, but msgpack_rpc.nodes is not true")
     return operator
 
 
+def _membership(top: _Table) -> Membership:
+    given = top.table("membership", ("sources", "zookeeper"))
+    zookeeper = given.table("zookeeper", ZooKeeper.__dataclass_fields__)
+    sources = given.texts("sources", (REGISTRY,))
+    if not sources or len(set(sources)) != len(sources) or not set(sources) <= set(SOURCES):
+        raise ValueError(
+            f"membership.sources: each of {', '.join(SOURCES)} once at most is wanted, not {sources}"
+        )
+    made = ZooKeeper(
+        zookeeper.addresses("members"),
+        zookeeper.path("path", "/lodge/nodes"),
+        zookeeper.path("chroot", ""),
+        zookeeper.number("session_timeout_s", 6.0, 0.5, 120.0),
+        zookeeper.secret("secret"),
+    )
+    if ZOOKEEPER in sources and not made.members:
+        raise ValueError("membership.zookeeper.members: the ensemble's addresses are wanted")
+    return Membership(sources, made)
+
+
 class _Table:
     """One table of the file; each complaint names the path of the field."""
 
@@ -108,3 +156,38 @@
                 raise ValueError(f"{self._path}{name}.{pod}: a pod's number is wanted")
             pods[int(pod)] = inner.protocol(pod, HTTP)
         return pods
+
+    def texts(self, name: str, default: tuple[str, ...] = ()) -> tuple[str, ...]:
+        value = self._given.get(name, list(default))
+        if not isinstance(value, list) or not all(isinstance(each, str) for each in value):
+            raise self._wanted(name, "a list of texts")
+        return tuple(value)
+
+    def addresses(self, name: str) -> tuple[Address, ...]:
+        try:
+            return tuple(parse_address(each) for each in self.texts(name))
+        except ValueError as bad:
+            raise ValueError(f"{self._path}{name}: {bad}") from None
+
+    def path(self, name: str, default: str) -> str:
+        value = self._given.get(name, default)
+        parts = value.split("/")[1:] if isinstance(value, str) else [""]
+        good = (
+            value == "" if not default and not value else all(part not in ("", ".", "..") for part in parts)
+        )
+        if not isinstance(value, str) or not good or (value and not value.startswith("/")):
+            raise self._wanted(name, "a path such as /lodge/nodes")
+        return value
+
+    def number(self, name: str, default: float, low: float, high: float) -> float:
+        value = self._given.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value <= high:
+            raise self._wanted(name, f"a number from {low:g} to {high:g}")
+        return float(value)
+
+    def secret(self, name: str) -> str:
+        """A user and a password; no complaint shows them."""
+        value = self._given.get(name, "")
+        if not isinstance(value, str) or (value and not value.partition(":")[2]):
+            raise ValueError(f"{self._path}{name}: user:password is wanted")
+        return value
--- a/topazbank/wiring.py
+++ b/topazbank/wiring.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from functools import partial
 
 from topazbank.core.driver import Config, Wiring
 from topazbank.core.listener import Speaks
@@ -11,8 +12,9 @@
 from topazbank.http.front import HttpConnection
 from topazbank.http.upstream import HttpCarrier
 from topazbank.interface import Settings
+from topazbank.membership.both import Several
 from topazbank.membership.registry import Discovery
-from topazbank.operator import Operator
+from topazbank.operator import REGISTRY, ZOOKEEPER, Membership, Operator, ZooKeeper
 
 
 def wire(operator: Operator) -> Wiring:
@@ -35,8 +37,37 @@
             made[MSGPACK_RPC] = RpcCarrier(dial_s, idle_s, slots, columns, sharing)
         return made
 
-    return Wiring(HttpConnection, binary, carriers, _registry, Dialects(operator.protocol, operator.pods))
+    dialects = Dialects(operator.protocol, operator.pods)
+    return Wiring(
+        HttpConnection, binary, carriers, _sources(operator.membership), operator.show_roster, dialects
+    )
 
 
-def _registry(config: Config, told: Callable[[Told | None], None]) -> Source:
+Hear = Callable[[Told | None], None]
+
+
+def _sources(membership: Membership) -> Callable[[Config, Hear], Source]:
+    """What makes the membership sources; the registry alone is itself, as the platform has it."""
+    if membership.sources == (REGISTRY,):
+        return _registry
+
+    def make(config: Config, told: Hear) -> Source:
+        makers: dict[str, Callable[[Hear], Source]] = {
+            REGISTRY: partial(_registry, config),
+            ZOOKEEPER: partial(_zookeeper, membership.zookeeper, config),
+        }
+        return Several({name: makers[name] for name in membership.sources}, told)
+
+    return make
+
+
+def _registry(config: Config, told: Hear) -> Source:
     return Discovery(config.discovery, config.known.version, told)
+
+
+def _zookeeper(given: ZooKeeper, config: Config, told: Hear) -> Source:
+    from topazbank.membership.zkclient import Ensemble
+    from topazbank.membership.zookeeper import ZooKeeperSource
+
+    ensemble = Ensemble(given.members, given.session_timeout_s, given.chroot, given.secret)
+    return ZooKeeperSource(ensemble, given.path, told, config.seed)
