--- a/tests/membership/test_zookeeper.py
+++ b/tests/membership/test_zookeeper.py
@@ -341,6 +341,8 @@
                     statuses.append((await s.w.ask(X_Call_Id=ident))[0])
 
             running = [asyncio.create_task(load(number)) for number in range(4)]
+            # Moved before its nodes are there, the ensemble's word would be that nothing runs.
+            await until(lambda: all(each.standing is Standing.IN for each in s.registrars))
             config = Config(
                 ("127.0.0.1", 0), s.w.discovery.address, 7, 256, s.w.sidecar._settings, Told(0, True, [])
             )
