--- a/standins/demo/__main__.py
+++ b/standins/demo/__main__.py
@@ -27,6 +27,10 @@
 from standins.lodge import SPEEDS, Lodge, LodgeServer, Memory, RunLog
 from standins.registry import Registry
 from standins.wire import HTTP, MSGPACK_RPC, Address, Asked, place
+from standins.zookeeper import Ensemble
+from topazbank.membership.registrar import Registrar
+from topazbank.membership.roster import Registration
+from topazbank.membership.zkclient import Ensemble as Where
 
 ROOT = Path(__file__).parent.parent.parent
 EXAMPLE = ROOT / "deploy" / "example.json"
@@ -35,6 +39,8 @@
 KINDS = ("check", "amend", "lodge")
 WORK_S = {"check": 0.008, "amend": 0.012, "lodge": 0.020}  # on a standard machine
 RATE = 700  # calls a second, of both protocols together
+NODES = "/lodge/nodes"  # where nodes register, with --membership zookeeper
+SESSION_S = 1.5  # the time-out of their sessions
 SLOTS = 2  # of each node: some seven tenths of what the six can do is asked for
 RPC_CONNECTIONS = 2  # that all MessagePack-RPC clients share
 HTTP_CONNECTIONS = 64
@@ -45,16 +51,20 @@
 
 
 class Fleet:
-    """The nodes and the registry that lists them."""
+    """The nodes, and the registry or the ensemble that lists them."""
 
-    def __init__(self) -> None:
+    def __init__(self, membership: str) -> None:
         self.log = RunLog()
         self.registry = Registry()
+        self.ensemble = Ensemble(3) if membership == "zookeeper" else None
+        self._registrars: dict[str, Registrar] = {}
         self.servers: dict[str, LodgeServer] = {}
         self._memories = {protocol: Memory() for protocol in PROTOCOLS}
 
     async def start(self) -> None:
         await self.registry.start()
+        if self.ensemble is not None:
+            await self.ensemble.start()
         for pod, protocol in enumerate(PROTOCOLS, start=1):
             for speed in SPEEDS:
                 await self.launch(f"{speed}-{pod}", protocol, pod, speed)
@@ -75,18 +85,66 @@
         server.started_ms = int(time.time() * 1000) if cold_s else 0
         await server.start()
         self.servers[name] = server
-        self.registry.put(server.entry())
+        if self.ensemble is None:
+            self.registry.put(server.entry())
+        else:
+            self._register(server)
+
+    def _register(self, server: LodgeServer) -> None:
+        assert self.ensemble is not None
+        lodge = server.lodge
+        registration = Registration(
+            server.address,
+            server.pod,
+            server.kind,
+            "a",
+            server.protocol,
+            lodge.speed,
+            f"{lodge.name}-{server.started_ms}",
+            server.started_ms,
+        )
+        registrar = Registrar(Where(_members(self.ensemble), SESSION_S), NODES, lodge.name, registration)
+        self._registrars[lodge.name] = registrar
+        registrar.start()
+
+    def die(self, name: str) -> None:
+        """The node's process is killed: its connections break, and its session with them a while later."""
+        self.servers[name].die()
+        if name in self._registrars:
+            self._registrars[name].crash()
+
+    def operator_file(self, folder: Path) -> Path:
+        """The deployed operator file, with the ensemble where there is one."""
+        path = folder / "operator.toml"
+        text = OPERATOR.read_text(encoding="utf-8")
+        if self.ensemble is not None:
+            members = ", ".join(f'"{place(each)}"' for each in _members(self.ensemble))
+            text += (
+                f'\n[membership]\nsources = ["zookeeper"]\n[membership.zookeeper]\nmembers = [{members}]\n'
+            )
+            text += f'path = "{NODES}"\n[admin]\nroster = true\n'
+        path.write_text(text, encoding="utf-8")
+        return path
 
     def drain(self, name: str) -> None:
         """The node says that it leaves, and takes nothing new from half a second later on."""
         server = self.servers[name]
-        self.registry.put(server.entry(status="leaving"))
+        if name in self._registrars:
+            self._leaving = asyncio.get_running_loop().create_task(self._registrars[name].leave())
+        else:
+            self.registry.put(server.entry(status="leaving"))
         asyncio.get_running_loop().call_later(0.5, server.drain)
 
     def stop(self) -> None:
-        for server in self.servers.values():
-            server.die()
+        for name in self.servers:
+            self.die(name)
         self.registry.stop()
+        if self.ensemble is not None:
+            self.ensemble.stop()
+
+
+def _members(ensemble: Ensemble) -> tuple[Address, ...]:
+    return tuple(each.server.address for each in ensemble.members if each.server is not None)
 
 
 @contextlib.asynccontextmanager
@@ -109,7 +167,7 @@
             "-m",
             "topazbank",
             "--operator",
-            str(OPERATOR),
+            str(fleet.operator_file(folder)),
             cwd=ROOT,
             env=environ | {"RELAY_CONFIG": str(path)},
             stderr=log,
@@ -191,7 +249,7 @@
             break
         await asyncio.sleep(0.002)
     say(f"fast-2 (msgpack-rpc) dies under {dying.lodge.held} calls")
-    dying.die()
+    fleet.die("fast-2")
     await asyncio.sleep(seconds / 6)
     say("slow-1 (http) says that it leaves")
     fleet.drain("slow-1")
@@ -237,13 +295,15 @@
     return lines
 
 
-async def run(seconds: float, seed: int) -> int:
-    fleet = Fleet()
+async def run(seconds: float, seed: int, membership: str = "registry") -> int:
+    fleet = Fleet(membership)
     await fleet.start()
     with tempfile.TemporaryDirectory() as folder:
         async with sidecar(fleet, Path(folder)) as listen:
             print(f"sidecar at {place(listen)}; {RATE} calls a second for {seconds:g} s")
             clients = Clients(listen, seed)
+            if fleet.ensemble is not None:
+                await asyncio.sleep(1.0)  # the ensemble's first list: nothing is known before it
             showing = asyncio.create_task(progress(clients, fleet))
             trouble = asyncio.create_task(troubles(fleet, seconds))
             await clients.send(seconds)
@@ -262,8 +322,9 @@
     parser = argparse.ArgumentParser(prog="standins.demo", description=__doc__)
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--membership", choices=("registry", "zookeeper"), default="registry")
     given = parser.parse_args()
-    return asyncio.run(run(given.seconds, given.seed))
+    return asyncio.run(run(given.seconds, given.seed, given.membership))
 
 
 if __name__ == "__main__":
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -34,6 +34,18 @@
         ("[nodes.pods]\n7 = 'msgpack-rpc'", "msgpack_rpc.nodes is not true"),
         ("nodes = \nx = 1", "line 1"),
         ("[news]", "news: not known"),
+        ("[membership]\nsources = []", "membership.sources: each of registry, zookeeper"),
+        ("[membership]\nsources = ['dns']", "membership.sources: each of registry, zookeeper"),
+        ("[membership]\nsources = 'zookeeper'", "membership.sources: a list of texts is wanted"),
+        ("[membership]\nsources = ['zookeeper']", "membership.zookeeper.members: the ensemble's addresses"),
+        (
+            "[membership.zookeeper]\nmembers = ['nowhere']",
+            "membership.zookeeper.members: an address host:port",
+        ),
+        ("[membership.zookeeper]\npath = 'lodge'", "membership.zookeeper.path: a path such as"),
+        ("[membership.zookeeper]\npath = '/a//b'", "membership.zookeeper.path: a path such as"),
+        ("[membership.zookeeper]\nsession_timeout_s = 0", "session_timeout_s: a number from 0.5 to 120"),
+        ("[admin]\nroster = 'yes'", "admin.roster: true or false is wanted"),
     ],
 )
 def test_a_bad_file_is_named_with_its_field(text: str, complaint: str, tmp_path: Path) -> None:
@@ -53,3 +65,13 @@
     assert dialects.of(Listed(elsewhere, None)) == HTTP
     assert dialects.of(Listed(in_pod, None, HTTP)) == HTTP
     assert dialects.of(Listed(elsewhere, None, "grpc")) == "grpc"
+
+
+def test_a_secret_is_in_no_complaint_and_in_no_picture_of_the_settings(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text("[membership.zookeeper]\nsecret = 'hush'", encoding="utf-8")
+    with pytest.raises(ValueError) as bad:
+        read_operator(str(path))
+    assert "user:password is wanted" in str(bad.value) and "hush" not in str(bad.value)
+    good = operator_from(tomllib.loads("[membership.zookeeper]\nsecret = 'me:hush'\nmembers = ['a:1']"))
+    assert good.membership.zookeeper.secret == "me:hush" and "hush" not in repr(good)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -16,6 +16,8 @@
 from standins.lodge import Lodge, LodgeServer, Memory, RunLog
 from standins.registry import Registry
 from standins.wire import HTTP, MSGPACK_RPC, Asked, read_http
+from standins.zookeeper import Ensemble
+from standins.zookeeper.__main__ import Control
 from topazbank.config import read_config
 
 PROTOCOLS = (HTTP, MSGPACK_RPC)
@@ -159,12 +161,40 @@
     play(scene())
 
 
-@pytest.mark.parametrize("module", ["standins.lodge", "standins.registry"])
+def test_faults_are_taken_by_the_control_port() -> None:
+    async def scene() -> None:
+        ensemble = Ensemble(3)
+        await ensemble.start()
+        control = Control(ensemble)
+        await control.start()
+        reader, writer = await asyncio.open_connection(*control.address)
+
+        async def do(*fault: Any) -> Any:
+            writer.write(json.dumps(fault).encode() + b"\n")
+            return json.loads(await asyncio.wait_for(reader.readline(), PATIENCE_S))
+
+        assert await do("crash", 0) is True and not ensemble.members[0].up
+        assert await do("slow_disk", 0.2) is True and ensemble.disk_s == 0.2
+        assert await do("lag", 1, 0.5) is True and ensemble.members[1].lag_s == 0.5
+        assert await do("sessions") == []
+        for bad in (("hold", 7), ("burn",), ("cut",), ("cut", 9)):
+            assert "error" in await do(*bad)
+        writer.write(b"nonsense\n")
+        assert "error" in json.loads(await asyncio.wait_for(reader.readline(), PATIENCE_S))
+        writer.close()
+        control.stop()
+        ensemble.stop()
+
+    play(scene())
+
+
+@pytest.mark.parametrize("module", ["standins.lodge", "standins.registry", "standins.zookeeper"])
 def test_each_runs_alone_and_says_where(module: str, tmp_path: Path) -> None:
     async def scene() -> None:
         entries = tmp_path / "nodes.json"
         entries.write_text('[{"name": "n-0"}]', encoding="utf-8")
-        more = ["--entries", str(entries)] if module.endswith("registry") else ["--protocol", MSGPACK_RPC]
+        options = {"registry": ["--entries", str(entries)], "lodge": ["--protocol", MSGPACK_RPC]}
+        more = options.get(module.rpartition(".")[2], [])
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", module, *more, stdout=asyncio.subprocess.PIPE, cwd=EXAMPLE.parent.parent
         )
@@ -183,8 +213,11 @@
     assert config.settings.limits.max_attempts == 3 and not config.settings.limits.second_copies
 
 
-def test_the_demo_loses_nothing_and_runs_nothing_twice(capsys: pytest.CaptureFixture[str]) -> None:
-    assert asyncio.run(run(3.0, 1)) == 0
+@pytest.mark.parametrize("membership", ["registry", "zookeeper"])
+def test_the_demo_loses_nothing_and_runs_nothing_twice(
+    membership: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert asyncio.run(run(3.0, 1, membership)) == 0
     told = capsys.readouterr().out
     assert "dies under" in told and "says that it leaves" in told
     assert "0 lost, 0 lodges or amends run twice" in told
