A part that is on without its library ends the start with one line

The operator file could turn MessagePack-RPC on where msgpack is not installed: the start ended with a traceback, or, for nodes alone, at the first list. It now ends with one line and exit code 2; a test starts the program so.

--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -92,6 +92,27 @@
     play(scene())
 
 
+def test_a_part_that_is_on_without_its_library_ends_the_start_with_one_line(tmp_path: Path) -> None:
+    async def scene() -> None:
+        (tmp_path / "msgpack.py").write_text("raise ImportError('no msgpack here')", encoding="utf-8")
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config()), encoding="utf-8")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "topazbank",
+            "--operator",
+            "deploy/operator.toml",
+            cwd=ROOT,
+            env=os.environ | {"RELAY_CONFIG": str(path), "PYTHONPATH": str(tmp_path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, err = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+        assert process.returncode == 2 and err == b"bad configuration: no msgpack here\n"
+
+    play(scene())
+
+
 def test_a_flood_of_log_lines_is_cut() -> None:
     flood = Flood(3)
     lines = [logging.makeLogRecord({"created": at}) for at in (7.0, 7.1, 7.2, 7.3, 7.9, 8.0)]
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -16,7 +16,7 @@
 from collections.abc import Sequence
 
 from topazbank.config import BAD_CONFIG, read_config
-from topazbank.core.driver import Config, Sidecar
+from topazbank.core.driver import Config, Sidecar, Wiring
 from topazbank.operator import Operator, read_operator
 from topazbank.wiring import wire
 
@@ -51,12 +51,12 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler])
 
 
-async def serve(config: Config, operator: Operator, operator_file: str | None) -> None:
+async def serve(config: Config, operator: Operator, operator_file: str | None, wiring: Wiring) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, stop.set)
-    running = Running(Sidecar(config, wire(operator)), operator, operator_file)
+    running = Running(Sidecar(config, wiring), operator, operator_file)
     loop.add_signal_handler(signal.SIGHUP, running.reread)
     await running.sidecar.run(stop)
 
@@ -100,13 +100,14 @@
     try:
         operator = read_operator(given.operator)
         config = read_config(os.environ)
-    except BAD_CONFIG as bad:
+        wiring = wire(operator)
+    except (*BAD_CONFIG, ImportError) as bad:  # of a part that is on, and whose library is not installed
         print(f"bad configuration: {bad}".replace("\n", " "), file=sys.stderr)
         return 2
     gc.freeze()  # what is loaded by now stays; collections look at requests alone
     gc.set_threshold(*_COLLECTED)
     try:
-        asyncio.run(serve(config, operator, given.operator))
+        asyncio.run(serve(config, operator, given.operator, wiring))
     except OSError as fault:
         print(f"can't serve: {fault}", file=sys.stderr)
         return 1
--- a/topazbank/wiring.py
+++ b/topazbank/wiring.py
@@ -26,6 +26,9 @@
 
         binary = RpcConnection
 
+    if rpc.nodes:
+        import topazbank.msgpackrpc.upstream  # noqa: F401  # now, so that a library that lacks ends the start
+
     def carriers(settings: Settings, slots: Slots) -> Mapping[str, Carrier]:
         limits, columns = settings.limits, settings.report_columns
         dial_s, idle_s = limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6
