--- a/standins/lodge/model.py
+++ b/standins/lodge/model.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import json
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
@@ -88,7 +87,6 @@
     held: int = 0
     _free: asyncio.Semaphore = field(init=False)
     _offered: deque[tuple[float, float]] = field(default_factory=deque)  # (when, work) of the last 2 s
-    _turn: itertools.count[int] = field(default_factory=itertools.count)
 
     def __post_init__(self) -> None:
         self.began = self.clock()
--- a/topazbank/msgpackrpc/codec.py
+++ b/topazbank/msgpackrpc/codec.py
@@ -3,7 +3,7 @@
 By the published specification (github.com/msgpack-rpc/msgpack-rpc, spec.md): a request is [0, msgid, method,
 params], a response [1, msgid, error, result], a notification [2, method, params].  Reading rests on the `msgpack`
 library's streaming unpacker, held within bounds; texts stay bytes, since older peers write any bytes as `raw`.
-The library bounds nesting (its stack holds 512 or 1,024 levels); what calls may nest is in mapping.py.
+The library bounds nesting by its own stack; what calls may nest is in mapping.py.
 """
 
 from __future__ import annotations
