A changed list entry costs the decision module the same at any size of list

The ready servers are kept in their order and their nominal sizes summed as entries change; gone ones that something is still out at are remembered apart.

--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import bisect
 import heapq
 import math
 import random
@@ -239,6 +240,8 @@
         self._heard_of = 0  # servers so far
         self._ready: list[Server] = []
         self._near: list[Server] = []  # of these, the ones in the own zone
+        self._gone: list[Server] = []  # of which something was out when they were last looked at
+        self._ready_size = 0.0  # of the ready ones, nominally
         self._requests: dict[int, Request] = {}
         self._queues: dict[int, Queue] = {}  # by key
         self._moved: deque[Queue] = deque()  # queues whose head may have changed
@@ -378,40 +381,50 @@
         if event.kind is not ListKind.REMEMBERED:
             self._failed_calls = 0
             self._ask_due = None
+        touched = self._gone + [self._server_listed(line) for line in event.servers]
         if event.kind is not ListKind.CHANGES:
-            listed = {line.server for line in event.servers}
-            for server in self._servers.values():
-                if server.name not in listed:
-                    server.state = ServerState.GONE
-        for line in event.servers:
-            self._server_listed(line)
-        for server in [each for each in self._servers.values() if each.state is ServerState.GONE]:
-            self._forget_gone(server)
-        self._ready = [each for each in self._servers.values() if each.state is ServerState.READY]
-        self._ready.sort(key=lambda each: each.place)
-        self._near = [each for each in self._ready if each.zone == self._settings.zone]
-        mean_size = sum(each.nominal for each in self._ready) / max(len(self._ready), 1)
-        for server in self._ready:
-            if server.pace <= 0.0:  # until answers tell, a server is as quick as its nominal size
+            missing = self._servers.keys() - {line.server for line in event.servers}
+            touched += [self._server_listed(ListedServer(name, state=ServerState.GONE)) for name in missing]
+        mean_size = self._ready_size / max(len(self._ready), 1)
+        self._gone = []
+        for server in dict.fromkeys(touched):
+            if server.state is ServerState.GONE:
+                self._forget_gone(server)
+            elif server.state is ServerState.READY and server.pace <= 0.0:
+                # Until answers tell, a server is as quick as its nominal size.
                 server.pace = mean_size / server.nominal if server.nominal > 0.0 else 1.0
 
-    def _server_listed(self, line: ListedServer) -> None:
+    def _server_listed(self, line: ListedServer) -> Server:
+        """Note a line of the list, at a cost that hardly grows with the list."""
         server = self._servers.get(line.server)
         if server is None:
             self._heard_of += 1
             server = Server(line.server, self._heard_of, self._random.random())
             self._servers[line.server] = self._numbered[server.number] = server
-        server.zone = line.zone
-        server.cell = line.cell
-        if server.state is ServerState.GONE or line.nominal != server.nominal:
+        if server.state is ServerState.READY:
+            self._stand(server, False)
+        before, server.state = server.state, line.state
+        if line.state is ServerState.GONE:
+            return server  # its place is kept: what is out there still counts by it
+        server.zone, server.cell = line.zone, line.cell
+        if before is ServerState.GONE or line.nominal != server.nominal:
             server.pace = 0.0  # to be set by its nominal size
         server.nominal = max(line.nominal, 0.0)
-        server.state = line.state
+        if line.state is ServerState.READY:
+            self._stand(server, True)
         if line.started_at is not None and line.started_at != server.started_at:
             server.started_at = line.started_at
             self._turned_cold(server, line.started_at)
             if server.ejected_until is not None and line.state is ServerState.READY:
                 self._readmit(server)  # a new process: what the old one did is history
+        return server
+
+    def _stand(self, server: Server, ready: bool) -> None:
+        """Put a server among the ready ones, in this balancer's own order, or take it out."""
+        self._ready_size += server.nominal if ready else -server.nominal
+        for servers in (self._ready, self._near) if server.zone == self._settings.zone else (self._ready,):
+            at = bisect.bisect_left(servers, server.place, key=lambda each: each.place)
+            servers[at : at + (not ready)] = [server] * ready
 
     def _forget_gone(self, server: Server) -> None:
         """A server that has gone is no longer ejected: it would keep others from that; nor kept for long."""
@@ -421,6 +434,8 @@
             server.ejected_until = None
         if not self._busy(server) and server.probed_at is None:
             del self._servers[server.name], self._numbered[server.number]
+        else:
+            self._gone.append(server)
 
     # -- Requests -------------------------------------------------------------------------------------
 
@@ -674,29 +689,19 @@
         trial = self._trial_due(request)
         if trial is not None:
             return trial, []
-        pool: list[Server] = []
         request.spread = request.spread or self._now == self._back_at
-        if not request.spread:
-            pool = self._within_reach(self._near, request)
-            request.spread = len(pool) < 2
-        if request.spread:
+        pool = self._within_reach(self._ready if request.spread else self._near, request)
+        if len(pool) < 2 and not request.spread:
+            request.spread = True
             pool = self._within_reach(self._ready, request)
         if not pool:
             return None, []
         if self._remote_at != self._now:
             self._remote_at, self._remote = self._now, 1.0 if self._near_first else self._weigh_zones()
         power = min(max(1.0, float(request.size)), HEAVY_POWER)
-        odds = [
-            self._odds(each, power) * (1.0 if each.zone == self._settings.zone else self._remote)
-            for each in pool
-        ]
-        best: Server | None = None
-        best_rank = (0, 0.0)
+        odds = [self._odds(each, power) for each in pool]
         drawn = self._drawn(pool, odds, DRAWN << request.said_full)
-        for server in drawn:
-            busy = self._busy(server)
-            if best is None or (busy, server.pace) < best_rank:
-                best, best_rank = server, (busy, server.pace)
+        best = min(drawn, key=lambda each: (self._busy(each), each.pace))
         if self._probes > 1 and self._now != self._back_at:  # others that stalled with it would hear the same
             return best, sorted(drawn, key=self._busy)[: self._probes]
         return best, []
@@ -751,8 +756,9 @@
 
         Still less for heavy requests, which only quick servers can answer in time.
         """
+        near = 1.0 if server.zone == self._settings.zone else self._remote
         pace = math.pow(max(server.pace, 1.0 / PACE_CLIP), power)
-        return 1.0 / pace if server.cold_since is None else self._warmth(server) / pace
+        return near / pace if server.cold_since is None else near * self._warmth(server) / pace
 
     def _weigh_zones(self) -> float:
         """Odds of servers in other zones: less while the own zone is as quick as theirs.
@@ -811,8 +817,7 @@
         server = self._servers.get(event.server)
         if server is None:
             return
-        server.probed_at = None
-        server.reported = None
+        server.probed_at = server.reported = None
         if event.outcome is Outcome.DELIVERED:
             usual = self._probe_time if self._probe_time is not None else float(event.elapsed_us)
             self._probe_time = usual + PROBE_STEP * (event.elapsed_us - usual)
@@ -1095,13 +1100,13 @@
             self._eject(server, "silent", SILENT_MOST)
         silent = silent and server.ejected_until is not None
         limits = self._settings.limits
-        if not self._may_run_again(request) or len(request.attempts) >= limits.max_attempts:
+        spent = self._extra < 1.0 or len(request.attempts) >= limits.max_attempts
+        if not silent or spent or not self._may_run_again(request):
             return  # waiting is all that is left
         if limits.second_copies:
-            if silent and self._extra >= 1.0:
-                self._extra -= 1.0
-                self._place(request)
-        elif silent and limits.may_cancel and self._extra >= 1.0:
+            self._extra -= 1.0
+            self._place(request)
+        elif limits.may_cancel:
             self._actions.append(Cancel(request.ident, attempt.index))  # its end draws again
 
     # -- Outlier ejection -----------------------------------------------------------------------------
@@ -1225,30 +1230,27 @@
         if self._timer_due is not None and self._now >= self._timer_due:
             self._timer_due = None
         while self._agenda and self._agenda[0][0] <= self._now:
-            _, _, what, index = heapq.heappop(self._agenda)
-            if index == _TURN:
-                if what in self._queues:
-                    self._moved.append(self._queues[what])
+            due, _, what, index = heapq.heappop(self._agenda)
+            if self._is_idle(due, what, index):
                 continue
-            if index == _IDLE:
-                server = self._numbered.get(what)
-                if server is not None and server.idle and server.close_due <= self._now:
-                    server.idle = 0
-                    self._actions.append(CloseIdle(server.name))
-                continue
-            request = self._requests.get(what)
-            if what == _ASK:
-                if self._ask_due is not None and self._ask_due <= self._now:
-                    self._ask()
-            elif request is None or request.answered or any(each.started for each in request.attempts):
-                pass  # nothing is waited for any more
-            elif index == _WHOLE:
-                self._finish(request)
-            elif index == _ASKED:
-                if request.asked and request.asked_until <= self._now:
-                    self._settle(request)
-            elif request.attempts[index].pending:
-                self._overdue(request, request.attempts[index])
+            if index == _TURN:
+                self._moved.append(self._queues[what])
+            elif index == _IDLE:
+                server = self._numbered[what]
+                server.idle = 0
+                self._actions.append(CloseIdle(server.name))
+            elif what == _ASK:
+                self._ask()
+            elif what != _BEAT and not any(each.started for each in self._requests[what].attempts):
+                self._waited(self._requests[what], index)
+
+    def _waited(self, request: Request, index: int) -> None:
+        if index == _WHOLE:
+            self._finish(request)
+        elif index == _ASKED:
+            self._settle(request)
+        else:
+            self._overdue(request, request.attempts[index])
 
     def _is_idle(self, due: int, what: int, index: int) -> bool:
         """Whether nothing would be done when this entry falls due."""
