Whole lists are taken in steps of 100 lines, and addresses and rosters are indexed

The sidecar, the roster and the merge of sources each walked all nodes for one change, and took a whole list in one turn of the loop. Listing keeps what was told until it is taken, compares it with what was taken before, gives out what takes nodes away first, and lets a later word replace one that waits. Nodes are indexed by address, so two at one address are found without a walk; two that swap addresses across two steps both stay. Names of a list are decoded 500 a turn.

--- /dev/null
+++ b/benchmarks/list_hold.py
@@ -0,0 +1,225 @@
+"""How long the event loop is held by one changed entry and by a whole list, at several sizes of fleet.
+
+    .venv/bin/python -m benchmarks.list_hold [--sizes 15 1000 5000] [--former REVISION]
+
+Each part on the way from the ensemble's word to the decision module is timed alone, and the sidecar's own part as it
+runs: the longest turn of the loop counts, since that is what a request waits for.  `--former` loads the decision module
+as it stood at a revision of this repository and times it beside today's.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import subprocess
+import sys
+import time
+import types
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from benchmarks.forward_cost import SETTINGS
+from topazbank import balancer
+from topazbank.core.driver import Config, Sidecar
+from topazbank.core.listing import STEP
+from topazbank.core.members import Listed, Told
+from topazbank.interface import ListedServer, ListKind, ServersListed, ServerState
+from topazbank.membership import zkclient, zkwire
+from topazbank.membership.merge import Merge
+from topazbank.membership.roster import Registration, Roster
+from topazbank.operator import Operator
+from topazbank.wirenames import settings_from_wire
+from topazbank.wiring import wire
+
+ROUNDS = 40  # of one change; the median is given
+WHOLE_ROUNDS = 5
+
+
+def lines(size: int, state: ServerState = ServerState.READY) -> list[Listed]:
+    return [
+        Listed(
+            ListedServer(f"n-{number:05}", "a", "m", number % 7, state, 1.0, 1_000_000 + number),
+            (f"127.{number >> 16}.{number >> 8 & 255}.{number & 255}", 80),
+        )
+        for number in range(size)
+    ]
+
+
+def median_ms(work: Callable[[int], None], rounds: int) -> float:
+    times = []
+    for number in range(rounds):
+        began = time.perf_counter()
+        work(number)
+        times.append(time.perf_counter() - began)
+    return sorted(times)[rounds // 2] * 1e3
+
+
+def decision_module(module: Any, size: int) -> tuple[float, float]:
+    """One change and a whole list, given at once."""
+    settings = settings_from_wire(SETTINGS)
+    whole = [line.server for line in lines(size)]
+    made = [module.Balancer(settings, number) for number in range(WHOLE_ROUNDS)]
+    all_at_once = median_ms(
+        lambda number: made[number].handle(1, ServersListed(ListKind.COMPLETE, whole, 1)), WHOLE_ROUNDS
+    )
+    states = (ServerState.DRAINING, ServerState.READY)
+
+    def change(number: int) -> None:
+        line = lines_of_one(whole[size // 2], states[number % 2])
+        made[0].handle(2 + number, ServersListed(ListKind.CHANGES, [line], 2))
+
+    return median_ms(change, ROUNDS), all_at_once
+
+
+def lines_of_one(server: ListedServer, state: ServerState) -> ListedServer:
+    return ListedServer(
+        server.server, server.zone, server.kind, server.cell, state, server.nominal, server.started_at
+    )
+
+
+def former_module(revision: str) -> types.ModuleType:
+    source = subprocess.run(
+        ["git", "show", f"{revision}:topazbank/balancer.py"], capture_output=True, check=True, text=True
+    ).stdout
+    module = types.ModuleType("former_balancer")
+    sys.modules[module.__name__] = module  # dataclasses look their module up
+    exec(compile(source, "former_balancer.py", "exec"), module.__dict__)
+    return module
+
+
+def settled(made: Sidecar) -> bool:
+    return not made._listing.waits()
+
+
+class Turns:
+    """Times each turn of a loop, from when its callbacks begin to when they have run."""
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+        self.count = 0
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        last = time.perf_counter()
+        while True:
+            await asyncio.sleep(0)
+            now = time.perf_counter()
+            self.longest_s = max(self.longest_s, now - last)
+            self.count += 1
+            last = now
+            if condition():
+                return
+
+
+async def sidecar(size: int) -> tuple[float, float, int]:
+    """One change and a whole list of new nodes as the sidecar takes them: the longest hold, and its steps."""
+    config = Config(
+        ("127.0.0.1", 0), ("127.0.0.1", 9), 1, 512, settings_from_wire(SETTINGS), Told(0, True, [])
+    )
+    whole = lines(size)
+    holds, steps = [], 0
+    for _ in range(WHOLE_ROUNDS):
+        made = Sidecar(config, wire(Operator()))
+        made._discovery.stop()  # nobody answers there
+        turns = Turns()
+        began = time.perf_counter()
+        made._told(Told(1, True, whole))
+        turns.longest_s = time.perf_counter() - began
+        await turns.until(partial(settled, made))
+        holds.append(turns.longest_s)
+        steps = turns.count
+    states = (ServerState.DRAINING, ServerState.READY)
+
+    def change(number: int) -> None:
+        line = whole[size // 2]
+        made._told(
+            Told(2, False, [Listed(lines_of_one(line.server, states[number % 2]), line.address, "http")])
+        )
+
+    for task in asyncio.all_tasks() - {asyncio.current_task()}:
+        task.cancel()
+    return median_ms(change, ROUNDS), sorted(holds)[WHOLE_ROUNDS // 2] * 1e3, steps
+
+
+def roster(size: int) -> tuple[float, float]:
+    """One node's new data, and the names read anew, in the ensemble's roster."""
+    kept = Roster()
+    names = [f"n-{number:05}" for number in range(size)]
+    kept.names_read(0.0, names, 1)
+
+    def data(number: int, leaving: bool) -> bytes:
+        address = (f"127.{number >> 16}.{number >> 8 & 255}.{number & 255}", 80)
+        return Registration(address, 1, "m", "a", "http", 1.0, "i", 0, leaving).encode()
+
+    for number, name in enumerate(names):
+        kept.node_read(0.0, name, data(number, False), 1, 1, 0)
+    changed = size // 2
+
+    def change(number: int) -> None:
+        kept.node_changed(names[changed])
+        kept.node_read(0.0, names[changed], data(changed, number % 2 == 0), 1, 2 + number, 0)
+
+    def listed(number: int) -> None:
+        kept.names_read(0.0, names, 2 + number)
+
+    return median_ms(change, ROUNDS), median_ms(listed, WHOLE_ROUNDS)
+
+
+def merge(size: int) -> tuple[float, float]:
+    """One change and a turn's part of a whole list, among two sources."""
+    both = Merge(["zookeeper", "registry"])
+    whole = lines(size)
+    some = lines(min(size, STEP), ServerState.DRAINING)
+    both.told("zookeeper", Told(1, True, whole))
+    both.told("registry", Told(1, True, lines(size)))
+    states = (ServerState.DRAINING, ServerState.READY)
+
+    def change(number: int) -> None:
+        line = whole[size // 2]
+        server = lines_of_one(line.server, states[number % 2])
+        both.told("zookeeper", Told(2, False, [Listed(server, line.address)]))
+
+    def again(number: int) -> None:
+        both.told("zookeeper", Told(2, False, whole[:STEP] if number % 2 else some))
+
+    return median_ms(change, ROUNDS), median_ms(again, WHOLE_ROUNDS)
+
+
+def names_decoded(size: int) -> float:
+    """A turn's part of the names below a path."""
+    data = zkwire.texts([f"n-{number:05}" for number in range(size)])
+
+    def decode(number: int) -> None:
+        record = zkwire.Record(data)
+        record.texts(min(record.number(), zkclient._NAMES_A_STEP))
+
+    return median_ms(decode, WHOLE_ROUNDS)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.list_hold", description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=[15, 1000, 5000])
+    parser.add_argument("--former", metavar="REVISION")
+    arguments = parser.parse_args()
+    rows: list[tuple[str, list[tuple[float, float]]]] = []
+    if arguments.former:
+        former = former_module(arguments.former)
+        rows.append(
+            (f"decision module at {arguments.former}", [decision_module(former, n) for n in arguments.sizes])
+        )
+    rows.append(("decision module", [decision_module(balancer, each) for each in arguments.sizes]))
+    taken = [asyncio.run(sidecar(each)) for each in arguments.sizes]
+    rows.append(("sidecar (longest turn)", [each[:2] for each in taken]))
+    rows.append(("roster (one / names again)", [roster(each) for each in arguments.sizes]))
+    rows.append(("merge of two sources (a turn)", [merge(each) for each in arguments.sizes]))
+    rows.append(("names decoded (a turn)", [(0.0, names_decoded(each)) for each in arguments.sizes]))
+    sizes = "".join(f"{f'{each} nodes':>22}" for each in arguments.sizes)
+    print(f"{'ms: one change / whole list':<32}{sizes}")
+    for name, figures in rows:
+        print(f"{name:<32}" + "".join(f"{one:>13.3f} /{whole:>7.2f}" for one, whole in figures))
+    print("steps of the sidecar's whole list: " + ", ".join(str(each[2]) for each in taken))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/membership/test_roster.py
+++ b/tests/membership/test_roster.py
@@ -254,7 +254,7 @@
     s = Stage()
     s.up("a", "b")
     s.roster.unwatched()
-    assert all(each.reading for each in s.roster.entries.values()) and s.states == {"a": READY, "b": READY}
+    assert all(map(s.roster.is_unread, s.roster.entries)) and s.states == {"a": READY, "b": READY}
 
 
 names_ = st.sampled_from(["a", "b", "c"])
--- a/tests/membership/test_zookeeper.py
+++ b/tests/membership/test_zookeeper.py
@@ -223,7 +223,7 @@
             s.ensemble.expire(ident)
             await until(lambda: s.source.session.state is State.LIVE and s.source.session.ident != ident)
             assert s.ready == {"s-0", "s-1"}
-            await until(lambda: not any(each.reading for each in s.source.roster.entries.values()))
+            await until(lambda: not any(map(s.source.roster.is_unread, s.source.roster.entries)))
             await s.registrars[1].leave()  # its watch is there again
             await until(lambda: s.ready == {"s-0"})
 
--- a/tests/msgpackrpc/simulated.py
+++ b/tests/msgpackrpc/simulated.py
@@ -23,7 +23,7 @@
 from topazbank.core.net import Address
 from topazbank.core.nodes import MSGPACK_RPC, Carrier, Slots
 from topazbank.http.front import HttpConnection
-from topazbank.interface import Cancel, ListedServer, ListKind, Outcome, ServerState, Settings
+from topazbank.interface import Cancel, ListedServer, Outcome, ServerState, Settings
 from topazbank.msgpackrpc.front import RpcConnection
 from topazbank.msgpackrpc.upstream import RpcCarrier, RpcNodeConnection, Sharing
 
@@ -329,7 +329,7 @@
             HttpConnection, RpcConnection, carriers, lambda *_: _NoSource(), dialects=Dialects(MSGPACK_RPC)
         )
         self.sidecar = Sidecar(config, wiring, Clock(lambda: int(loop.time() * 1e9)))
-        self.sidecar._list(ListKind.REMEMBERED, config.known)
+        self.sidecar._remember(config.known)
         self._frontend: Frontend = self.sidecar.frontend
 
     def check(self, kept: bool, rule: str) -> None:
@@ -362,7 +362,7 @@
     def drain(self, node: Node) -> None:
         node.drained = True
         server = ListedServer(node.name, "east", "m", 1, ServerState.DRAINING)
-        self.sidecar._list(ListKind.CHANGES, Told(2, False, [Listed(server, ("127.0.0.1", 9))]))
+        self.sidecar._told(Told(2, False, [Listed(server, ("127.0.0.1", 9))]))
 
     async def settle(self) -> None:
         """Let all time pass that anything may take, and judge."""
--- /dev/null
+++ b/tests/test_listing.py
@@ -0,0 +1,185 @@
+"""Lists taken in steps: what waits, in which order, and that the decision module holds what one whole list would."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from helpers import START, settings
+from hypothesis import given
+from hypothesis import strategies as st
+
+from topazbank import Balancer
+from topazbank.core.listing import STEP, Listing
+from topazbank.core.members import Listed, Told
+from topazbank.core.net import Address
+from topazbank.core.nodes import Nodes, Slots
+from topazbank.interface import ListedServer, ListKind, ServersListed, ServerState
+
+READY, DRAINING, GONE = ServerState.READY, ServerState.DRAINING, ServerState.GONE
+
+
+def line(name: str, state: ServerState = READY, zone: str = "east", nominal: float = 1.0) -> Listed:
+    return Listed(ListedServer(name, zone, "m", 3, state, nominal, 7), ("127.0.0.1", 80))
+
+
+def names(lines: list[Listed]) -> list[str]:
+    return [each.server.server for each in lines]
+
+
+def told(*lines: Listed, complete: bool = False) -> Told:
+    return Told(1, complete, list(lines))
+
+
+def test_a_whole_list_comes_in_steps_and_what_takes_nodes_away_first() -> None:
+    listing = Listing()
+    listing.told(0.0, told(*(line(f"n-{each}") for each in range(STEP)), complete=True))
+    assert len(listing.take()) == STEP and not listing.waits()
+    stay = [line(f"m-{each}") for each in range(2 * STEP)]
+    listing.told(1.0, told(*stay, line("n-0", DRAINING), complete=True))
+    first = listing.take()
+    assert len(first) == STEP and {each.server.state for each in first} == {GONE, DRAINING}
+    assert sorted(names(first)) == sorted(f"n-{each}" for each in range(STEP))
+    assert first[0].server.cell == 3  # by which a keyed request's own pod is told
+    rest = [*listing.take(), *listing.take()]
+    assert names(rest) == names(stay) and not listing.waits()
+
+
+def test_what_was_taken_before_is_not_taken_again() -> None:
+    listing = Listing()
+    listing.told(0.0, told(line("a"), line("b"), complete=True))
+    listing.take()
+    listing.told(1.0, told(line("a"), line("b", zone="west"), complete=True))
+    assert names(listing.take()) == ["b"]
+    listing.told(2.0, told(line("a"), line("b", zone="west"), complete=True))
+    assert listing.take() == []
+
+
+def test_a_later_word_replaces_one_that_waits() -> None:
+    listing = Listing()
+    listing.told(0.0, told(*(line(f"n-{each:03}") for each in range(3 * STEP)), complete=True))
+    listing.take()
+    last = f"n-{3 * STEP - 1:03}"
+    listing.told(0.1, told(line(last, GONE)))
+    assert listing.awaits(last)
+    step = listing.take()
+    assert names(step)[0] == last and step[0].server.state is GONE
+    assert last not in names(listing.take() + listing.take()) and not listing.waits()
+
+
+def test_a_newer_whole_list_takes_the_place_of_one_that_waits() -> None:
+    listing = Listing()
+    listing.told(0.0, told(*(line(f"n-{each}") for each in range(2 * STEP)), complete=True))
+    listing.take()
+    listing.told(0.1, told(line("other"), complete=True))
+    step = listing.take() + listing.take()
+    assert sorted(names(step)) == sorted(["other", *(f"n-{each}" for each in range(STEP))])
+    assert not listing.waits()  # those that had not been taken are not heard of at all
+
+
+def test_how_old_a_node_s_line_is_counts_from_when_it_was_last_told() -> None:
+    listing = Listing()
+    listing.told(1.0, told(line("a"), line("b"), complete=True))
+    listing.told(2.0, told(line("a")))
+    listing.told(3.0, told(line("b", GONE)))
+    assert (listing.told_at("a", 9.0), listing.told_at("b", 9.0)) == (2.0, 9.0)
+
+
+_LINES = st.lists(
+    st.builds(
+        line,
+        st.sampled_from([f"n-{each}" for each in range(12)]),
+        st.sampled_from([READY, READY, DRAINING, GONE]),
+        st.sampled_from(["east", "west"]),
+        st.sampled_from([0.0, 1.0, 2.5]),
+    ),
+    max_size=15,
+)
+
+
+@given(st.lists(st.tuples(st.booleans(), _LINES, st.integers(0, 4)), max_size=8))
+def test_steps_end_where_whole_lists_would(history: list[tuple[bool, list[Listed], int]]) -> None:
+    """Whatever is told, and however many steps are taken between, the module's list is what was told last."""
+    listing, stepped = Listing(), Balancer(settings(), 1)
+    expected: dict[str, ListedServer] = {}
+    now = START
+
+    def step() -> None:
+        lines = [each.server for each in listing.take(3)]
+        stepped.handle(now, ServersListed(ListKind.CHANGES, lines))
+
+    for complete, lines, steps in history:
+        now += 1
+        listing.told(0.0, Told(1, complete, lines))
+        if complete:
+            expected = {}
+        expected |= {each.server.server: each.server for each in lines}
+        expected = {name: each for name, each in expected.items() if each.state is not GONE}
+        for _ in range(steps):
+            step()
+    while listing.waits():
+        step()
+    step()
+    assert {each.name: (each.state, each.zone, each.nominal) for each in stepped._servers.values()} == {
+        each.server: (each.state, each.zone, each.nominal) for each in expected.values()
+    }
+    ready = sorted(
+        (each for each in stepped._servers.values() if each.state is READY), key=lambda each: each.place
+    )
+    assert stepped._ready == ready
+    assert stepped._near == [each for each in ready if each.zone == "east"]
+    assert stepped._ready_size == pytest.approx(sum(each.nominal for each in ready))
+    assert all(each.pace > 0.0 for each in ready)
+
+
+# -- Addresses ---------------------------------------------------------------------------------------
+
+
+class NoCarrier:
+    """A carrier that opens nothing."""
+
+    def open(self, endpoint: object) -> None: ...
+
+    renew = withdraw = forget = open
+
+
+def nodes() -> Nodes:
+    made = Nodes(Slots(4), 1.0)
+    made._carriers["http"] = NoCarrier()  # type: ignore[assignment]
+    return made
+
+
+def at(port: int) -> Address:
+    return ("127.0.0.1", port)
+
+
+def test_of_two_at_one_address_the_one_that_started_later_stays() -> None:
+    made = nodes()
+    for name, port, started in (("a", 1, 5), ("b", 1, 7), ("c", 2, 1), ("d", 2, 1)):
+        made.update(name, at(port), started, READY)
+    assert made.displace() == ["a"] and list(made.endpoints) == ["b", "c", "d"]  # equals both stay
+    made.update("e", at(2), 9, READY)
+    assert sorted(made.displace()) == ["c", "d"] and made.displace() == []
+
+
+def test_two_that_swap_addresses_in_one_list_both_stay() -> None:
+    made = nodes()
+    made.update("a", at(1), 5, READY)
+    made.update("b", at(2), 7, READY)
+    made.update("a", at(2), 5, READY)
+    assert made.displace(lambda name: name == "b") == []  # b's own line comes with the next step
+    made.update("b", at(1), 7, READY)
+    assert made.displace() == [] and len(made.endpoints) == 2
+    assert made._at == {at(1): {"b": made.endpoints["b"]}, at(2): {"a": made.endpoints["a"]}}
+
+
+def test_an_address_is_forgotten_with_its_last_node() -> None:
+    made, rng = nodes(), random.Random(3)
+    for _ in range(500):
+        name = f"n-{rng.randrange(9)}"
+        state = rng.choice([READY, DRAINING, GONE])
+        made.update(name, at(1 + rng.randrange(4)), rng.randrange(3), state)
+        made.displace()
+        where = {each.name: each.address for each in made.endpoints.values()}
+        assert {name: address for address, there in made._at.items() for name in there} == where
+        assert all(made._at.values())
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -20,7 +20,8 @@
 from topazbank.balancer import Balancer
 from topazbank.core.call import FAILED, Answer, Call, Hooks, Response, Rulebook, Verdict
 from topazbank.core.listener import Frontend, Speaks
-from topazbank.core.members import Dialects, Source, Told
+from topazbank.core.listing import Listing
+from topazbank.core.members import Dialects, Listed, Source, Told
 from topazbank.core.net import Address
 from topazbank.core.nodes import HTTP, Attempt, Carrier, Nodes, Slots
 from topazbank.interface import (
@@ -135,7 +136,8 @@
             self._nodes.add(protocol, carrier)
         self._known = config.known
         self._dialects = wiring.dialects
-        self._told_at: dict[str, float] = {}  # when each node that is listed was last told of
+        self._listing = Listing()
+        self._stepping = False  # whether the next step of the list is due in the loop's next turn
         self._source_of_list = 0  # counts the sources: what a former one tells late is not heard
         self._discovery = self._make_source(config, wiring)
         roster = self._show_roster if wiring.show_roster else None
@@ -158,7 +160,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop`, then answer all that is held and return."""
-        self._list(ListKind.REMEMBERED, self._known)
+        self._remember(self._known)
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
         self.frontend.start()
@@ -375,37 +377,42 @@
 
     def _told(self, told: Told | None) -> None:
         if told is not None:
-            self._list(ListKind.COMPLETE if told.complete else ListKind.CHANGES, told)
+            self._listing.told(asyncio.get_running_loop().time(), told)
+            self._take_step()
             return
         self.handle(ServersListed(ListKind.FAILED))
         if self._settings.discovery is DiscoveryMode.PUSHED:
             asyncio.get_running_loop().call_later(_PUSHED_AGAIN_S, self._discovery.follow, True)
 
-    def _list(self, kind: ListKind, told: Told) -> None:
+    def _remember(self, known: Told) -> None:
+        """The list of before the start, taken whole: nobody waits yet."""
+        self._listing.told(asyncio.get_running_loop().time(), known)
+        self._take_lines(ListKind.REMEMBERED, self._listing.take(len(known.lines)))
+
+    def _take_step(self) -> None:
+        """Take some of what was told now, and the rest in the loop's next turns: requests go on between."""
+        self._take_lines(ListKind.CHANGES, self._listing.take())
+        if self._listing.waits() and not self._stepping:
+            self._stepping = True
+            asyncio.get_running_loop().call_soon(self._next_step)
+
+    def _next_step(self) -> None:
+        self._stepping = False
+        self._take_step()
+
+    def _take_lines(self, kind: ListKind, lines: Sequence[Listed]) -> None:
         """Note the addresses first: the balancer may send on hearing of a server."""
-        protocols = [self._dialects.of(line) for line in told.lines]
-        if kind is not ListKind.CHANGES:
-            self._nodes.retain({line.server.server for line in told.lines})
-        self._note_told(kind, told)
         servers = []
-        for line, protocol in zip(told.lines, protocols, strict=True):
-            server = line.server
+        for line in lines:
+            server, protocol = line.server, self._dialects.of(line)
             if not self._nodes.speaks(protocol):
                 server, protocol = self._not_spoken(server, protocol), HTTP
             self._nodes.update(server.server, line.address, server.started_at, server.state, protocol)
             servers.append(server)
-        servers += [ListedServer(name, state=ServerState.GONE) for name in self._nodes.displace()]
-        self.handle(ServersListed(kind, servers, told.version))
-
-    def _note_told(self, kind: ListKind, told: Told) -> None:
-        now = asyncio.get_running_loop().time()
-        if kind is not ListKind.CHANGES:
-            self._told_at.clear()
-        for line in told.lines:
-            if line.server.state is ServerState.GONE:
-                self._told_at.pop(line.server.server, None)
-            else:
-                self._told_at[line.server.server] = now
+        for name in self._nodes.displace(self._listing.awaits):
+            self._listing.displaced(name)
+            servers.append(ListedServer(name, state=ServerState.GONE))
+        self.handle(ServersListed(kind, servers, self._listing.version))
 
     def _show_roster(self) -> bytes:
         """The list as it stands: each node's state, address and protocol, whose word that is and how old."""
@@ -417,7 +424,7 @@
                 "address": f"{each.address[0]}:{each.address[1]}",
                 "protocol": each.protocol,
                 "source": self._discovery.source_of(each.name),
-                "age_s": round(now - self._told_at.get(each.name, now), 3),
+                "age_s": round(now - self._listing.told_at(each.name, now), 3),
             }
             for each in self._nodes.endpoints.values()
         ]
--- /dev/null
+++ b/topazbank/core/listing.py
@@ -0,0 +1,104 @@
+"""What sources told of the list, taken in steps; no I/O, time is an argument (seconds, monotonic).
+
+A whole list of thousands would hold the event loop while requests wait for it.  It is compared with what was taken
+before and given out in steps of bounded size, what takes nodes away first: nothing new may go there.  A later word on a
+node replaces one that still waits, so what waits is never more than one line a node.
+"""
+
+from __future__ import annotations
+
+from topazbank.core.members import Listed, Told
+from topazbank.interface import ListedServer, ServerState
+
+STEP = 100  # lines a step: about a millisecond
+
+
+class Listing:
+    """The list as it was taken so far, and what still waits."""
+
+    def __init__(self) -> None:
+        self.version = 0  # the newest that was told
+        self._taken: dict[str, Listed] = {}
+        self._leaving: dict[str, Listed] = {}  # wait: nodes that take nothing new; at most one line a node
+        self._others: dict[str, Listed] = {}  # wait: the rest, likewise
+        self._told_at: dict[str, float] = {}  # when each node that is listed was last told of
+        self._displaced: set[str] = set()  # names whose address another has; of those that are told still
+
+    def told(self, now: float, told: Told) -> None:
+        """Hear a list or changes; they wait until they are taken."""
+        self.version = told.version
+        if told.complete:
+            self._whole(now, told.lines)
+            return
+        for line in told.lines:
+            name = line.server.server
+            self._wait(name, line)
+            if line.server.state is ServerState.GONE:
+                self._told_at.pop(name, None)
+            else:
+                self._told_at[name] = now
+
+    def _whole(self, now: float, lines: list[Listed]) -> None:
+        self._leaving.clear()
+        self._others.clear()
+        listed = {line.server.server: line for line in lines}
+        # Gone first.  The displaced come last: until their address is looked at anew they would count as there.
+        for name in self._taken.keys() - listed.keys():
+            self._leaving[name] = _as_gone(self._taken[name])
+        for name in self._displaced & listed.keys():
+            listed[name] = listed.pop(name)
+        self._displaced &= listed.keys()
+        for name, line in listed.items():
+            if line.server.state is ServerState.READY:
+                self._others[name] = line
+            else:
+                self._leaving[name] = line
+        self._told_at = dict.fromkeys(listed, now)
+
+    def _wait(self, name: str, line: Listed) -> None:
+        self._leaving.pop(name, None)
+        self._others.pop(name, None)
+        ready = line.server.state is ServerState.READY
+        (self._others if ready else self._leaving)[name] = line
+
+    def waits(self) -> bool:
+        return bool(self._leaving or self._others)
+
+    def awaits(self, name: str) -> bool:
+        """Whether a word on this node still waits."""
+        return name in self._leaving or name in self._others
+
+    def take(self, most: int = STEP) -> list[Listed]:
+        """The next lines that say something new, at most so many are looked at."""
+        lines = []
+        for _ in range(most):
+            waiting = self._leaving or self._others
+            if not waiting:
+                break
+            name = next(iter(waiting))
+            line = waiting.pop(name)
+            if self._taken.get(name) == line:
+                continue
+            self._displaced.discard(name)
+            if line.server.state is ServerState.GONE:
+                self._taken.pop(name, None)
+            else:
+                self._taken[name] = line
+            lines.append(line)
+        return lines
+
+    def displaced(self, name: str) -> None:
+        """Another node has this one's address: it is taken anew when it is next told."""
+        self._taken.pop(name, None)
+        self._displaced.add(name)
+
+    def told_at(self, name: str, default: float) -> float:
+        return self._told_at.get(name, default)
+
+
+def _as_gone(line: Listed) -> Listed:
+    server = line.server
+    gone = ListedServer(
+        server.server, server.zone, server.kind, server.cell, ServerState.GONE, server.nominal
+    )
+    return Listed(gone, line.address, line.protocol)
--- a/topazbank/core/nodes.py
+++ b/topazbank/core/nodes.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Collection
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -128,6 +128,8 @@
     def __init__(self, slots: Slots, probe_limit_s: float) -> None:
         self.slots = slots
         self.endpoints: dict[str, Endpoint] = {}  # of the nodes that the list holds now
+        self._at: dict[Address, dict[str, Endpoint]] = {}  # the same, by address
+        self._contested: set[Address] = set()  # where two listen, so the list says; not looked at yet
         self._carriers: dict[str, Carrier] = {}
         self._probe_limit_s = probe_limit_s
 
@@ -156,13 +158,16 @@
                 known = Endpoint(name, address or _NOWHERE, started_at, state, protocol)
                 self._carriers[protocol].open(known)
                 self.endpoints[name] = known
+                self._settle(known)
             return
         if state is ServerState.GONE:
             self._remove(known)
             return
         address = address or known.address
         if (known.address, known.started_at) != (address, started_at):
+            self._leave(known)
             known.address, known.started_at = address, started_at
+            self._settle(known)
             known.generation += 1
             self._carriers[protocol].renew(known)
         known.state = state
@@ -175,25 +180,39 @@
         carrier.withdraw(endpoint)
         carrier.forget(endpoint)
         del self.endpoints[endpoint.name]
+        self._leave(endpoint)
 
-    def retain(self, names: Collection[str]) -> None:
-        """Drop all nodes but these."""
-        for name in [each for each in self.endpoints if each not in names]:
-            self._remove(self.endpoints[name])
+    def _leave(self, endpoint: Endpoint) -> None:
+        there = self._at.get(endpoint.address, {})
+        there.pop(endpoint.name, None)
+        if not there:
+            self._at.pop(endpoint.address, None)
 
-    def displace(self) -> list[str]:
-        """Drop the nodes whose address is that of one that started later: its process listens there now."""
-        latest: dict[Address, Endpoint] = {}
+    def _settle(self, endpoint: Endpoint) -> None:
+        """Note who listens where: two at one address are looked at by `displace`."""
+        if endpoint.address == _NOWHERE:
+            return
+        there = self._at.setdefault(endpoint.address, {})
+        there[endpoint.name] = endpoint
+        if len(there) > 1:
+            self._contested.add(endpoint.address)
+
+    def displace(self, awaited: Callable[[str], bool] = lambda name: False) -> list[str]:
+        """Drop the nodes whose address is that of one that started later: its process listens there now.
+
+        An address is looked at once no word on a node there is awaited: that one may be about to leave it.
+        """
         former = []
-        for each in self.endpoints.values():
-            other = latest.setdefault(each.address, each)
-            older, newer = sorted((other, each), key=lambda endpoint: endpoint.started_at or 0)
-            if each.address != _NOWHERE and (older.started_at or 0) < (newer.started_at or 0):
-                former.append(older.name)
-            latest[each.address] = newer
-        for name in former:
-            self._remove(self.endpoints[name])
-        return former
+        for address in list(self._contested):
+            there = self._at.get(address, {})
+            if any(awaited(name) for name in there):
+                continue
+            self._contested.discard(address)
+            latest = max((each.started_at or 0 for each in there.values()), default=0)
+            former += [each for each in there.values() if (each.started_at or 0) < latest]
+        for each in former:
+            self._remove(each)
+        return [each.name for each in former]
 
     def send(self, name: str, call: Call, until: float, ended: Ended, *, last: bool = True) -> Attempt:
         """Start an attempt; `ended` hears its outcome exactly once, maybe before this returns."""
--- a/topazbank/membership/both.py
+++ b/topazbank/membership/both.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from functools import partial
 
+from topazbank.core.listing import Listing
 from topazbank.core.members import Source, Standing, Told
 from topazbank.core.net import Address
 from topazbank.membership.merge import Merge
@@ -21,6 +22,9 @@
     def __init__(self, makers: Mapping[str, Make], told: Callable[[Told | None], None]) -> None:
         self._merge = Merge(list(makers))
         self._told = told
+        self._listings = {name: Listing() for name in makers}
+        self._whole = dict.fromkeys(makers, False)  # whether what waits there is of a whole list
+        self._stepping: set[str] = set()  # sources whose next step is due in the loop's next turn
         self._failed: set[str] = set()  # sources that could not say when they were last asked
         self._sources = {name: make(partial(self._heard, name)) for name, make in makers.items()}
         self._waited: asyncio.TimerHandle | None = None
@@ -36,7 +40,28 @@
                 self._sources[name].follow(True)
             return
         self._failed.discard(name)
-        self._pass_on(self._merge.told(name, told))
+        listing = self._listings[name]
+        listing.told(asyncio.get_running_loop().time(), told)
+        self._whole[name] |= told.complete
+        self._step(name)
+
+    def _step(self, name: str) -> None:
+        """Pass on some of what a source told now, and the rest in the loop's next turns."""
+        listing = self._listings[name]
+        lines = listing.take()
+        if lines:
+            self._pass_on(self._merge.told(name, Told(listing.version, False, lines)))
+        if listing.waits():
+            if name not in self._stepping:
+                self._stepping.add(name)
+                asyncio.get_running_loop().call_soon(self._next_step, name)
+        elif self._whole[name]:
+            self._whole[name] = False
+            self._pass_on(self._merge.spoke(name))
+
+    def _next_step(self, name: str) -> None:
+        self._stepping.discard(name)
+        self._step(name)
 
     def _pass_on(self, news: Told | None) -> None:
         if news is not None:
--- a/topazbank/membership/merge.py
+++ b/topazbank/membership/merge.py
@@ -53,6 +53,12 @@
                 known.gone.pop(name, None)
         return self._news(touched)
 
+    def spoke(self, source: str) -> Told | None:
+        """A source has told its whole list, in changes."""
+        known = self._known[source]
+        known.heard = known.told = True
+        return self._news(set())
+
     def cannot_know(self, source: str) -> Told | None:
         """A source can't say, or has been waited for long enough: the list begins without it."""
         self._known[source].heard = True
--- a/topazbank/membership/roster.py
+++ b/topazbank/membership/roster.py
@@ -135,9 +135,7 @@
     czxid: int = 0  # of its znode: another one is another registration
     mzxid: int = 0  # of its data
     registration: Registration | None = None  # None: not read yet, or not readable
-    reading: bool = True  # its data is being read
     told_at: float = 0.0
-    held_until: float = 0.0  # a node that flaps is held out so long
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,6 +170,10 @@
         self._children_zxid = -1  # pzxid of the newest list of names
         self._begun = False  # whether a whole list was told
         self._told: dict[str, Listed] = {}
+        # The rest is kept so that one node's change costs the same however many there are.
+        self._unread: set[str] = set()  # entries whose data is being read
+        self._held_out: dict[str, float] = {}  # entries that flap, and until when
+        self._claims: dict[Address, dict[str, Entry]] = {}  # entries by the address that they say
         self._owner: dict[Address, str] = {}  # who listens at an address: the one that registered last
         self._returns: dict[
             str, deque[float]
@@ -194,8 +196,11 @@
 
     def unwatched(self) -> None:
         """The session expired, and its watches with it: what every node says is to be read again."""
-        for entry in self.entries.values():
-            entry.reading = True
+        self._unread.update(self.entries)
+
+    def is_unread(self, name: str) -> bool:
+        """Whether a node's data is to be read, for all that is known."""
+        return name in self._unread
 
     # -- What was read ---------------------------------------------------------------------------------
 
@@ -207,17 +212,17 @@
         self._children_zxid = pzxid
         self.in_touch(now)
         listed = {name for name in names if 0 < len(name) <= NAME_MOST}
-        gone = [name for name in self.entries if name not in listed]
+        gone = sorted(self.entries.keys() - listed)
         for name in gone:
             self._remove(name, step)
         if gone and not listed:
             log.warning("the ensemble says that none of %d nodes is registered any more", len(gone))
         for name in sorted(listed - self.entries.keys()):
-            entry = Entry(name, told_at=now)
             if name in self._seen:
-                entry.held_until = self._came_back(name, now)
+                self._came_back(name, now)
             self._remember(name)
-            self.entries[name] = entry
+            self.entries[name] = Entry(name, told_at=now)
+            self._unread.add(name)
             step.read.append(name)
         self._begin(step)
         return step
@@ -228,7 +233,7 @@
         entry = self.entries.get(name)
         if entry is None or mzxid < entry.mzxid:
             return step  # it has gone, or newer data was read
-        entry.reading = False
+        self._unread.discard(name)
         if (entry.czxid, entry.mzxid) == (czxid, mzxid) and entry.registration is not None:
             self._begin(step)
             return step
@@ -257,24 +262,23 @@
     def node_changed(self, name: str) -> Step:
         """A watch says that its data is another now."""
         step = Step()
-        entry = self.entries.get(name)
-        if entry is not None:
-            entry.reading = True
+        if name in self.entries:
+            self._unread.add(name)
             step.read.append(name)
         return step
 
     def woke(self, now: float) -> Step:
         """Nodes that were held out and have stayed."""
         step = Step()
-        for entry in self.entries.values():
-            if 0.0 < entry.held_until <= now:
-                entry.held_until = 0.0
-                self._tell(entry.name, now, step)
+        for name in [each for each, until in self._held_out.items() if until <= now]:
+            del self._held_out[name]
+            self._tell(name, now, step)
+        self._begin(step)
         return step
 
     def next_wake(self) -> float | None:
         """When `woke` has something to do."""
-        return min((each.held_until for each in self.entries.values() if each.held_until > 0.0), default=None)
+        return min(self._held_out.values(), default=None)
 
     # -- What is told ----------------------------------------------------------------------------------
 
@@ -285,7 +289,7 @@
                 self.version += 1
             return
         step.lines = []
-        if any(entry.reading for entry in self.entries.values()) or self._children_zxid < 0:
+        if self._unread or self._children_zxid < 0:
             return
         self._begun = True
         self.version += 1
@@ -297,15 +301,16 @@
         self._begun = False
 
     def _remove(self, name: str, step: Step) -> None:
-        entry = self.entries.pop(name)
-        registration = entry.registration
+        registration = self.entries.pop(name).registration
+        self._unread.discard(name)
+        self._held_out.pop(name, None)
         told = self._told.pop(name, None)
         if told is not None:
             server = told.server
             gone = ListedServer(name, server.zone, server.kind, server.cell, ServerState.GONE, server.nominal)
             step.lines.append(Listed(gone, told.address, told.protocol))
-        if registration is not None and self._owner.get(registration.address) == name:
-            self._succeed(registration.address, step)
+        if registration is not None:
+            self._disclaim(name, registration.address, step)
 
     def _tell(self, name: str, now: float, step: Step) -> None:
         """Note how a node stands now, if that is new."""
@@ -324,7 +329,7 @@
                 return None  # never known: it is left out
             return _takes_nothing_new(told)
         owns = self._owner.get(registration.address) == entry.name
-        ready = owns and not registration.leaving and entry.held_until <= now
+        ready = owns and not registration.leaving and self._held_out.get(entry.name, 0.0) <= now
         server = ListedServer(
             entry.name,
             registration.zone,
@@ -342,10 +347,10 @@
         """Of two nodes that claim one address the one that registered last is there."""
         registration = entry.registration
         if former is not None and (registration is None or former.address != registration.address):
-            if self._owner.get(former.address) == entry.name:
-                self._succeed(former.address, step, without=entry.name)
+            self._disclaim(entry.name, former.address, step)
         if registration is None:
             return
+        self._claims.setdefault(registration.address, {})[entry.name] = entry
         owner = self.entries.get(self._owner.get(registration.address, ""))
         if owner is None or owner is entry or owner.czxid < entry.czxid:
             self._owner[registration.address] = entry.name
@@ -353,27 +358,27 @@
                 log.warning("%s and %s claim one address: the later one is taken", owner.name, entry.name)
                 self._tell(owner.name, entry.told_at, step)
 
-    def _succeed(self, address: Address, step: Step, without: str = "") -> None:
-        """An address has lost its owner: another that claims it may be there."""
-        self._owner.pop(address, None)
-        heirs = [
-            each
-            for each in self.entries.values()
-            if each.registration is not None and each.registration.address == address and each.name != without
-        ]
+    def _disclaim(self, name: str, address: Address, step: Step) -> None:
+        """A node is not at an address any more: if it was its owner, another that claims it may be there."""
+        heirs = self._claims[address]
+        del heirs[name]
+        if not heirs:
+            del self._claims[address]
+        if self._owner.get(address) != name:
+            return
+        del self._owner[address]
         if heirs:
-            heir = max(heirs, key=lambda each: each.czxid)
+            heir = max(heirs.values(), key=lambda each: each.czxid)
             self._owner[address] = heir.name
             self._tell(heir.name, heir.told_at, step)
 
-    def _came_back(self, name: str, now: float) -> float:
-        """Until when a node that has come back is held out: it isn't, unless it flaps."""
+    def _came_back(self, name: str, now: float) -> None:
+        """A node that has come back isn't held out, unless it flaps."""
         returns = self._returns.setdefault(name, deque(maxlen=FLAPS))
         returns.append(now)
         if len(returns) == FLAPS and returns[0] > now - FLAP_S:
             log.warning("node %s comes and goes: it is held out until it has stayed for %g s", name, STAY_S)
-            return now + STAY_S
-        return 0.0
+            self._held_out[name] = now + STAY_S
 
     def _remember(self, name: str) -> None:
         if len(self._seen) >= GONE_MOST:
@@ -402,7 +407,7 @@
             state = (
                 "unreadable" if entry.registration is None else told.server.state.value if told else "reading"
             )
-            if entry.reading and entry.registration is None:
+            if entry.name in self._unread and entry.registration is None:
                 state = "reading"
             address = (
                 f"{told.address[0]}:{told.address[1]}"
--- a/topazbank/membership/zkclient.py
+++ b/topazbank/membership/zkclient.py
@@ -22,6 +22,7 @@
 
 _BACKOFF_S = 0.05  # after all members were tried once; doubled each time, with jitter
 _BACKOFF_MOST_S = 3.0
+_NAMES_A_STEP = 500  # names of a list that are decoded in one turn of the loop
 _OUT_MOST = 20_000  # requests out at any time; the roster reads each node once
 _XID_MOST = 2**31 - 1
 
@@ -344,7 +345,13 @@
         except ZkError:
             self._children.discard(whole)
             raise
-        return record.texts(), record.stat()
+        names: list[str] = []
+        count = record.number()
+        while len(names) < count:
+            names += record.texts(min(count - len(names), _NAMES_A_STEP))
+            if len(names) < count:
+                await asyncio.sleep(0)  # requests go on between: a list may hold thousands
+        return names, record.stat()
 
     async def get(self, path: str, watch: bool = False) -> tuple[bytes, Stat]:
         whole = self._path(path)
--- a/topazbank/membership/zkwire.py
+++ b/topazbank/membership/zkwire.py
@@ -176,8 +176,23 @@
         except UnicodeDecodeError:
             raise BadRecord("a text is not UTF-8") from None
 
-    def texts(self) -> list[str]:
-        return [self.text() for _ in range(self.number())]
+    def texts(self, count: int) -> list[str]:
+        """The next texts of a list, whose count was read before."""
+        found = []
+        data, at = self._data, self._at
+        try:
+            for _ in range(count):  # in one loop: a list of names can hold thousands
+                end = at + 4 + max(_INT.unpack_from(data, at)[0], 0)
+                if end > len(data):
+                    raise BadRecord("a record ends early")
+                found.append(data[at + 4 : end].decode())
+                at = end
+        except struct.error:
+            raise BadRecord("a record ends early") from None
+        except UnicodeDecodeError:
+            raise BadRecord("a text is not UTF-8") from None
+        self._at = at
+        return found
 
     def stat(self) -> Stat:
         return Stat(*self._unpack(_STAT))
--- a/topazbank/membership/zookeeper.py
+++ b/topazbank/membership/zookeeper.py
@@ -136,8 +136,7 @@
             self._spawn(self._list(sync=False))
 
     def _unread(self, name: str) -> bool:
-        entry = self.roster.entries[name]
-        return entry.reading and name not in self._reading
+        return self.roster.is_unread(name) and name not in self._reading
 
     def _absent(self) -> Step:
         """The path itself is not there: nothing has ever been registered, by a live quorum's word."""
