A fleet rig that replays the failure cases and judges them by the nodes' own logs

The stand-in's restore() left a member that had been cut off without what was committed meanwhile, which a longer run of the seeded histories found; it catches up now.

--- /dev/null
+++ b/standins/fleet/__main__.py
@@ -0,0 +1,58 @@
+"""Replays failure cases over a fleet and judges them by the four rules.
+
+    python -m standins.fleet [SCENE ...] [--pace 1.0] [--rate 150] [--seeds 3]
+    python -m standins.fleet --outage 300
+
+Without a scene all are played, one after the other.  The last line of each is what broke a rule, if anything did.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+
+from standins.fleet.judge import Verdicts
+from standins.fleet.scenes import SCENES, outage_beside_fixed_list, play
+
+HEAD = (
+    f"{'':<32}{'seed':>5}{'calls':>8}{'served':>9}{'in aim':>9}{'refused':>9}{'failed':>8}{'lost':>6}  rules"
+)
+
+
+def row(name: str, seed: int, verdicts: Verdicts) -> str:
+    counts = verdicts.counts
+    parts = f"{verdicts.served:>9.2%}{verdicts.in_aim:>9.2%}"
+    others = f"{counts['refused']:>9}{counts['failed']:>8}{counts['lost']:>6}"
+    rules = "kept" if not verdicts.broken else f"{len(verdicts.broken)} broken: {verdicts.broken[0]}"
+    return f"{name:<32}{seed:>5}{verdicts.calls:>8}{parts}{others}  {rules}"
+
+
+def show(name: str, seed: int, verdicts: Verdicts) -> int:
+    print(row(name, seed, verdicts), flush=True)
+    return len(verdicts.broken)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="standins.fleet", description=__doc__)
+    parser.add_argument("scenes", nargs="*", choices=[*SCENES, []], default=[])
+    parser.add_argument("--pace", type=float, default=1.0, help="seconds that a step lasts")
+    parser.add_argument("--rate", type=float, default=150.0, help="calls a second")
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--outage", type=float, metavar="SECONDS")
+    given = parser.parse_args()
+    print(HEAD, flush=True)
+    broken = 0
+    for seed in range(1, given.seeds + 1):
+        if given.outage:
+            rigs = asyncio.run(outage_beside_fixed_list(given.outage, given.rate, seed))
+            for name, rig in zip(("ensemble out", "fixed list"), rigs, strict=True):
+                broken += show(name, seed, rig.verdicts())
+            continue
+        for name in given.scenes or SCENES:
+            broken += show(name, seed, asyncio.run(play(name, given.pace, given.rate, seed)).verdicts())
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/fleet/judge.py
@@ -0,0 +1,165 @@
+"""Judges a run by the four rules, from what clients got and the nodes' own logs; no I/O, times in seconds.
+
+The program under test is not asked: what counts is what reached a node, what ran there and what a client was answered.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from standins.lodge import Run
+
+ATTEMPTS_MOST = 3
+GRACE_S = 0.5  # after being told that a node drains or is gone
+SLACK_S = 0.25  # all parts of a rig share one loop: its turns are not the program's
+AIMS_S = {"check": 0.5, "amend": 0.5, "lodge": 0.8}  # answered within it, a call counts in full
+
+
+@dataclass(slots=True)
+class Called:
+    """A call as its client saw it."""
+
+    ident: str
+    kind: str
+    key: str | None
+    sent_at: float
+    budget_s: float
+    verdict: str = "lost"  # served, refused, failed or lost
+    answered_at: float | None = None
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Reached:
+    """A request that reached a node, run or not."""
+
+    at: float
+    node: str
+    ident: str
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """What a sidecar was told of a node; `known` is its start's list."""
+
+    at: float
+    sidecar: int
+    node: str
+    ready: bool
+
+
+@dataclass(slots=True)
+class Verdicts:
+    """What came of a run."""
+
+    broken: list[str] = field(default_factory=list)  # rules, with what broke them
+    counts: Counter[str] = field(default_factory=Counter)  # calls by verdict
+    calls: int = 0
+    late: int = 0  # served, after the aim
+
+    @property
+    def served(self) -> float:
+        """The part of the calls that were served."""
+        return self.counts["served"] / max(self.calls, 1)
+
+    @property
+    def in_aim(self) -> float:
+        return (self.counts["served"] - self.late) / max(self.calls, 1)
+
+
+def judge(
+    calls: Iterable[Called],
+    reached: Sequence[Reached],
+    runs: Sequence[Run],
+    words: Sequence[Word],
+    lives: Mapping[int, Sequence[tuple[float, float]]],
+    fallen: Iterable[str],
+) -> Verdicts:
+    """Hold a run against the rules.  `lives`: when each sidecar was there; `fallen`: cold nodes pushed over."""
+    verdicts = Verdicts()
+    by_ident = {each.ident: each for each in calls}
+    _answers(verdicts, by_ident, reached, runs)
+    _effects(verdicts, by_ident, reached, runs)
+    verdicts.broken += _drains(reached, words, lives)
+    verdicts.broken += [f"cold node pushed over: {name}" for name in fallen]
+    return verdicts
+
+
+def _answers(
+    verdicts: Verdicts, calls: Mapping[str, Called], reached: Sequence[Reached], runs: Sequence[Run]
+) -> None:
+    ran = {(run.node, run.ident) for run in runs} | {(run.node, run.key) for run in runs if run.key}
+    for call in calls.values():
+        verdicts.calls += 1
+        verdicts.counts[call.verdict] += 1
+        if call.verdict == "lost" or call.answered_at is None:
+            verdicts.broken.append(f"request lost: {call.ident} ({call.kind})")
+            continue
+        took = call.answered_at - call.sent_at
+        if took > call.budget_s + SLACK_S:
+            verdicts.broken.append(f"answered after its time: {call.ident}, {took:.3f} s")
+        if call.verdict == "served":
+            verdicts.late += took > AIMS_S[call.kind]
+            node = call.body.decode(errors="replace").split(" ")[0]
+            if (node, call.ident) not in ran and (node, call.key) not in ran:
+                verdicts.broken.append(f"served, though no node made it: {call.ident}")
+    for each in reached:
+        call = calls[each.ident]
+        if call.answered_at is not None and each.at > call.answered_at + SLACK_S:
+            verdicts.broken.append(f"sent after its final answer: {each.ident} to {each.node}")
+
+
+def _effects(
+    verdicts: Verdicts, calls: Mapping[str, Called], reached: Sequence[Reached], runs: Sequence[Run]
+) -> None:
+    attempts = Counter(each.ident for each in reached)
+    verdicts.broken += [
+        f"{count} attempts: {ident}" for ident, count in attempts.items() if count > ATTEMPTS_MOST
+    ]
+    effects: dict[str, list[Run]] = defaultdict(list)
+    for run in runs:
+        if run.kind in ("lodge", "amend"):
+            effects[run.key or run.ident].append(run)
+    verdicts.broken += [f"ran twice: {name}" for name, found in effects.items() if len(found) > 1]
+    for run in runs:
+        refused = calls[run.ident].verdict == "refused" and run.kind != "check"
+        if refused:
+            verdicts.broken.append(f"refused, though it ran: {run.ident}")
+
+
+def _drains(
+    reached: Sequence[Reached], words: Sequence[Word], lives: Mapping[int, Sequence[tuple[float, float]]]
+) -> list[str]:
+    """Requests that reached a node that every sidecar had been told of for longer than the grace.
+
+    A node does not know which sidecar a request came by, so one is counted as broken only where none may have sent
+    it: a sidecar may where it was not told, or not for so long, or where it was told since that the node is ready.
+    """
+    told: dict[str, list[Word]] = defaultdict(list)
+    for word in sorted(words, key=lambda each: each.at):
+        told[word.node].append(word)
+    broken = []
+    for each in reached:
+        since: dict[int, float | None] = {}
+        for word in told[each.node]:
+            if word.at > each.at:
+                break
+            if word.ready:
+                since[word.sidecar] = None
+            elif since.get(word.sidecar) is None:
+                since[word.sidecar] = word.at
+        alive = [
+            number
+            for number, spans in lives.items()
+            if any(began <= each.at <= ended + SLACK_S for began, ended in spans)
+        ]
+        may = [
+            number
+            for number in alive
+            if (at := since.get(number, each.at)) is None or each.at <= at + GRACE_S
+        ]
+        if alive and not may:
+            broken.append(f"sent to {each.node} after it was told of: {each.ident}")
+    return broken
--- /dev/null
+++ b/standins/fleet/rig.py
@@ -0,0 +1,371 @@
+"""The fleet itself: all parts in one process on loopback, so that a fault can be put between any two."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from standins.clients import HttpCaller, Wish
+from standins.fleet.judge import Called, Reached, Verdicts, Word, judge
+from standins.lodge import SPEEDS, Lodge, LodgeServer, Memory, RunLog
+from standins.wire import HTTP, MSGPACK_RPC, Address, Asked
+from standins.zookeeper import Ensemble
+from topazbank.core.driver import Config, Sidecar, Wiring
+from topazbank.core.members import Listed, Standing, Told
+from topazbank.interface import ListedServer, ServerState
+from topazbank.membership.registrar import Registrar
+from topazbank.membership.registrar import Standing as NodeStanding
+from topazbank.membership.roster import Registration
+from topazbank.membership.zkclient import Ensemble as Where
+from topazbank.operator import ZOOKEEPER, Membership, MsgpackRpc, Operator, ZooKeeper
+from topazbank.wirenames import settings_from_wire
+from topazbank.wiring import wire
+
+EXAMPLE = Path(__file__).parent.parent.parent / "deploy" / "example.json"
+PATH = "/lodge/nodes"
+WORK_S = {"check": 0.008, "amend": 0.012, "lodge": 0.020}  # on a standard machine
+KINDS, MIX = ("check", "amend", "lodge"), (6, 1, 3)
+BUDGETS_S = {"check": 2.0, "amend": 2.0, "lodge": 2.5}
+SPEED_NAMES = tuple(SPEEDS)
+CLIENT_CONNECTIONS = 64  # of a sidecar's clients that are kept open between calls
+
+
+def work(asked: Asked) -> float:
+    return WORK_S[asked.kind]
+
+
+class Silent:
+    """A source that never says anything: the list of before the start is all there is."""
+
+    def follow(self, wanted: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+    def move(self, address: Address) -> None: ...
+
+    def stop(self) -> None: ...
+
+    def standing(self) -> tuple[Standing, ...]:
+        return (Standing("fixed", False, None),)
+
+    def source_of(self, name: str) -> str:
+        return "fixed"
+
+
+@dataclass(slots=True, eq=False)
+class Process:
+    """One sidecar's life."""
+
+    sidecar: Sidecar
+    stop: asyncio.Event
+    task: asyncio.Task[None]
+    began: float
+    ended: float | None = None
+
+
+class Rig:
+    """Nodes of three speeds in two pods, one of each protocol, some sidecars, and a steady rate of calls."""
+
+    def __init__(
+        self, *, nodes: int = 6, sidecars: int = 2, seed: int = 1, session_s: float = 1.0, fixed: bool = False
+    ) -> None:
+        self.random = random.Random(seed)
+        self.ensemble = Ensemble(3, seed)
+        self.nodes: dict[str, LodgeServer] = {}
+        self.registrars: dict[str, Registrar] = {}
+        self.log = RunLog()
+        self.fixed = fixed
+        self.calls: list[Called] = []
+        self.words: list[Word] = []
+        self._fallen: list[str] = []
+        self._reached: list[Reached] = []
+        self._count, self._sidecars, self._session_s = nodes, sidecars, session_s
+        self._memories = [Memory(), Memory()]
+        self.processes: list[Process | None] = [None] * sidecars
+        self._past: dict[int, list[tuple[float, float]]] = defaultdict(list)
+        self._addresses: list[Address] = [("127.0.0.1", 0)] * sidecars
+        self._callers: dict[int, list[HttpCaller]] = defaultdict(list)  # at rest, CLIENT_CONNECTIONS each
+        self._out: set[asyncio.Task[None]] = set()
+        self._settings = settings_from_wire(json.loads(EXAMPLE.read_text(encoding="utf-8"))["settings"])
+
+    @staticmethod
+    def now() -> float:
+        return time.monotonic()  # as the event loop counts
+
+    # -- Life ------------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        await self.ensemble.start()
+        for number in range(self._count):
+            await self.launch(f"n-{number}")
+        await until(lambda: all(each.standing is NodeStanding.IN for each in self.registrars.values()))
+        for number in range(self._sidecars):
+            await self.start_sidecar(number, self._list() if self.fixed else [])
+        everyone = set(self.nodes)
+        await until(lambda: all(self.ready(number) == everyone for number in range(self._sidecars)))
+
+    async def stop(self) -> None:
+        for each in self._out:
+            each.cancel()
+        for callers in self._callers.values():
+            for caller in callers:
+                caller.close()
+        for process in self.processes:
+            if process is not None:
+                process.task.cancel()
+                process.sidecar._discovery.stop()
+                process.sidecar.frontend.stop()
+        for registrar in self.registrars.values():
+            registrar.crash()
+        for node in self.nodes.values():
+            node.die()
+        self.ensemble.stop()
+        await asyncio.sleep(0)
+
+    # -- Nodes -----------------------------------------------------------------------------------------
+
+    async def launch(self, name: str, cold_s: float = 0.0) -> None:
+        """Start a node's process, cold if `cold_s` is given, and register it."""
+        number = int(name.rpartition("-")[2])
+        pod = number % 2
+        speed = SPEED_NAMES[number // 2 % len(SPEED_NAMES)]
+        lodge = Noting(
+            name, self.log, self.now, SPEEDS[speed], cold_s=cold_s, work=work, memory=self._memories[pod]
+        )
+        lodge.note = self._note
+        server = LodgeServer(lodge, (HTTP, MSGPACK_RPC)[pod], pod + 1, speed)
+        server.started_ms = int(time.time() * 1000) if cold_s else 0
+        await server.start()
+        self.nodes[name] = server
+        self.register(name)
+
+    def _note(self, node: str, ident: str) -> None:
+        self._reached.append(Reached(self.now(), node, ident))
+
+    def register(self, name: str) -> None:
+        server = self.nodes[name]
+        registration = Registration(
+            server.address,
+            server.pod,
+            server.kind,
+            "a",
+            server.protocol,
+            server.lodge.speed,
+            f"{name}-{server.started_ms}",
+            server.started_ms,
+        )
+        registrar = Registrar(Where(self._members(), self._session_s), PATH, name, registration)
+        self.registrars[name] = registrar
+        registrar.start()
+
+    def die(self, name: str) -> None:
+        """The process is killed: its connections break, and its session ends when it times out."""
+        self._keep_fallen(name)
+        self.nodes[name].die()
+        self.registrars[name].crash()
+
+    async def leave(self, name: str, after_s: float = 0.7) -> None:
+        """The node says that it leaves, finishes what it holds and stops."""
+        await self.registrars[name].leave()
+        await asyncio.sleep(after_s)
+        self.nodes[name].drain()
+        await until(lambda: not self.nodes[name].lodge.held)
+        await self.registrars[name].stop()
+        self._keep_fallen(name)
+        self.nodes[name].die()
+
+    def _keep_fallen(self, name: str) -> None:
+        if self.nodes[name].lodge.fallen:
+            self._fallen.append(name)
+
+    def session_of(self, name: str) -> int:
+        return self.registrars[name]._session.ident
+
+    def _members(self) -> tuple[Address, ...]:
+        return tuple(each.server.address for each in self.ensemble.members if each.server is not None)
+
+    def _list(self) -> list[Listed]:
+        """The nodes as a list from before a start."""
+        return [
+            Listed(
+                ListedServer(
+                    name,
+                    "a",
+                    server.kind,
+                    server.pod,
+                    ServerState.READY,
+                    server.lodge.speed,
+                    server.started_ms * 1000 or None,
+                ),
+                server.address,
+                server.protocol,
+            )
+            for name, server in self.nodes.items()
+        ]
+
+    # -- Sidecars --------------------------------------------------------------------------------------
+
+    async def start_sidecar(self, number: int, known: list[Listed]) -> None:
+        place = ZooKeeper(self._members(), PATH, "", max(self._session_s, 2.0))
+        wiring = wire(
+            Operator(MsgpackRpc(clients=True, nodes=True), membership=Membership((ZOOKEEPER,), place))
+        )
+        if self.fixed:
+            wiring = replace(wiring, source=lambda config, told: Silent())
+        wiring = self._overheard(wiring, number)
+        config = Config(
+            self._addresses[number],
+            ("127.0.0.1", 9),
+            self.random.randrange(2**32),
+            512,
+            self._settings,
+            Told(0, True, known),
+        )
+        self._hear(number, config.known)
+        sidecar, stop = Sidecar(config, wiring), asyncio.Event()
+        task = asyncio.get_running_loop().create_task(sidecar.run(stop))
+        await until(lambda: sidecar.frontend.address[1] != 0)
+        self._addresses[number] = sidecar.frontend.address
+        self.processes[number] = Process(sidecar, stop, task, self.now())
+
+    def _overheard(self, wiring: Wiring, number: int) -> Wiring:
+        def source(config: Config, told: Callable[[Told | None], None]) -> Any:
+            def hear(what: Told | None) -> None:
+                if what is not None:
+                    self._hear(number, what)
+                told(what)
+
+            return made(config, hear)
+
+        made = wiring.source
+        return replace(wiring, source=source)
+
+    def _hear(self, number: int, told: Told) -> None:
+        now, said = self.now(), set()
+        for line in told.lines:
+            said.add(line.server.server)
+            self.words.append(Word(now, number, line.server.server, line.server.state is ServerState.READY))
+        if told.complete:
+            self.words += [Word(now, number, name, False) for name in self.nodes.keys() - said]
+
+    async def restart_sidecar(self, number: int) -> None:
+        """Stop a sidecar as the platform does, and start it again with the list it had."""
+        process = self.processes[number]
+        assert process is not None
+        self.processes[number] = None  # its clients wait for the next life
+        known = [
+            Listed(
+                ListedServer(
+                    each.name,
+                    server.zone,
+                    "",
+                    server.cell,
+                    server.state,
+                    server.nominal,
+                    server.started_at,
+                ),
+                each.address,
+                each.protocol,
+            )
+            for each in process.sidecar._nodes.endpoints.values()
+            if (server := process.sidecar._balancer._servers[each.name])
+        ]
+        process.stop.set()
+        await process.task
+        self._past[number].append((process.began, self.now()))
+        for caller in self._callers.pop(number, []):
+            caller.close()
+        await self.start_sidecar(number, known)
+
+    def ready(self, number: int) -> set[str]:
+        process = self.processes[number]
+        if process is None:
+            return set()
+        return {
+            each.name
+            for each in process.sidecar._balancer._servers.values()
+            if each.state is ServerState.READY
+        }
+
+    def sources(self) -> list[Any]:
+        """The sidecars' own ensemble sources."""
+        several = [each.sidecar._discovery for each in self.processes if each is not None]
+        return [each._sources[ZOOKEEPER] for each in several if not isinstance(each, Silent)]  # type: ignore[attr-defined]
+
+    # -- Calls -----------------------------------------------------------------------------------------
+
+    async def load(self, rate: float, over: asyncio.Event) -> None:
+        """Calls at a steady rate whatever comes of them, spread over the sidecars that are there."""
+        began, count = self.now(), 0
+        while not over.is_set():
+            there = [number for number, each in enumerate(self.processes) if each is not None]
+            if there:
+                self._one(self.random.choice(there))
+            count += 1
+            await asyncio.sleep(max(began + count / rate - self.now(), 0))
+        await asyncio.gather(*self._out)
+
+    def _one(self, number: int) -> None:
+        kind = self.random.choices(KINDS, MIX)[0]
+        ident = f"c-{len(self.calls):06}"
+        key = f"key-{ident}" if kind == "amend" else None
+        called = Called(ident, kind, key, self.now(), BUDGETS_S[kind])
+        self.calls.append(called)
+        body = b"" if kind == "check" else b"declaration"
+        wish = Wish(
+            kind,
+            ident,
+            f"/api/{self.random.getrandbits(64):016x}",
+            body,
+            called.budget_s,
+            None,
+            key,
+        )
+        task = asyncio.get_running_loop().create_task(self._call(number, called, wish))
+        self._out.add(task)
+        task.add_done_callback(self._out.discard)
+
+    async def _call(self, number: int, called: Called, wish: Wish) -> None:
+        callers = self._callers[number]
+        caller = callers.pop() if callers else HttpCaller(self._addresses[number])
+        got = await caller.call(wish)
+        called.verdict, called.body, called.answered_at = got.verdict, got.body, self.now()
+        callers = self._callers[number]
+        if len(callers) < CLIENT_CONNECTIONS:
+            callers.append(caller)
+        else:
+            caller.close()
+
+    # -- Judgement -------------------------------------------------------------------------------------
+
+    def verdicts(self) -> Verdicts:
+        lives = {number: list(spans) for number, spans in self._past.items()}
+        for number, process in enumerate(self.processes):
+            if process is not None:
+                lives.setdefault(number, []).append((process.began, self.now()))
+        for name in self.nodes:
+            self._keep_fallen(name)
+        return judge(self.calls, self._reached, self.log.runs, self.words, lives, self._fallen)
+
+
+class Noting(Lodge):
+    """A node that says what reaches it, run or not."""
+
+    note: Callable[[str, str], None]
+
+    async def serve(self, asked: Asked) -> Any:
+        self.note(self.name, asked.ident)
+        return await super().serve(asked)
+
+
+async def until(condition: Callable[[], object], seconds: float = 20.0) -> None:
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.005)
--- a/standins/lodge/model.py
+++ b/standins/lodge/model.py
@@ -83,6 +83,7 @@
     memory: Memory = field(default_factory=Memory)
     draining: bool = False
     fallen: bool = False  # pushed over while cold: it stays down
+    hung: bool = False  # takes requests and answers nothing
     began: float = 0.0
     held: int = 0
     _free: asyncio.Semaphore = field(init=False)
@@ -113,7 +114,7 @@
         work = self.work(asked)
         self.log.arrived[asked.ident] += 1
         self._offer(work)
-        if self.fallen:
+        if self.fallen or self.hung:
             return None
         if self.draining or self.held >= self.slots + self.queue:
             return REJECTED
--- a/standins/zookeeper/ensemble.py
+++ b/standins/zookeeper/ensemble.py
@@ -312,7 +312,8 @@
         for member in self.members:
             member.up = True
             member.cut = False
-        self._elect_later(self.election_s)
+        for member in self.members:
+            self._rejoin(member)  # one that was away gets what was committed without it
 
     def run_clock(self, rate: float) -> None:
         """Let the sessions' clock run faster, or as it should (1)."""
