--- a/standins/zookeeper/ensemble.py
+++ b/standins/zookeeper/ensemble.py
@@ -288,11 +288,16 @@
     def crash(self, number: int) -> None:
         """A member's process dies; its disk keeps what it applied."""
         member = self.members[number]
-        member.up = False
-        member.drop_clients()
+        self._down(member)
         if member is self.leader or not self.has_quorum():
             self._lose_leader()
 
+    @staticmethod
+    def _down(member: Member) -> None:
+        member.up = False
+        member.noticed = True  # once it is up again it serves nobody before it has found the leader
+        member.drop_clients()
+
     def restart(self, number: int) -> None:
         member = self.members[number]
         member.up = True
@@ -304,8 +309,7 @@
 
     def outage(self) -> None:
         for member in self.members:
-            member.up = False
-            member.drop_clients()
+            self._down(member)
         self.leader = None
 
     def restore(self) -> None:
--- a/topazbank/membership/registrar.py
+++ b/topazbank/membership/registrar.py
@@ -158,7 +158,7 @@
             await self._session.create(self._node, data, self._acl, zkwire.EPHEMERAL)
         except ZkError as error:
             if error.code == Code.NO_NODE:
-                await self._session.make_path(self._path, zkwire.OPEN_ACL)
+                await self._session.make_path(self._path, self._acl)  # who may delete is up to the path
             elif error.code != Code.NODE_EXISTS:
                 raise
             return False
--- a/topazbank/membership/zkclient.py
+++ b/topazbank/membership/zkclient.py
@@ -146,6 +146,7 @@
     async def close(self) -> None:
         """End the session: its ephemeral nodes go at once."""
         if self.state is State.LIVE and self._link is not None:
+            self._end_task()  # the connection's end is no news now
             try:
                 async with asyncio.timeout(self._timeout_s / 3):
                     await self._ask(Op.CLOSE)
@@ -155,11 +156,14 @@
 
     def stop(self) -> None:
         """End without a word: the session lives on until it expires."""
+        self._end_task()
+        self._enter(State.CLOSED)
+        self._drop(self._link)
+
+    def _end_task(self) -> None:
         if self._task is not None:
             self._task.cancel()
             self._task = None
-        self._drop(self._link)
-        self._enter(State.CLOSED)
 
     def _enter(self, state: State) -> None:
         if state is not self.state:
