--- /dev/null
+++ b/benchmarks/quiet_forwarders.py
@@ -0,0 +1,74 @@
+"""What planners gain where each forwarder sees little: the same traces and seeds with and without them.
+
+    .venv/bin/python -m benchmarks.quiet_forwarders [--forwarders 200] [--seeds 10] [--loads 0.6 0.7 0.8]
+
+In played time (standins.fleet.simulated): the real decision module, followers and planner; 15 nodes of three speeds,
+about one request a second a forwarder.  Error bars are two standard errors of the difference, seed by seed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import math
+import statistics
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from standins.fleet.simulated import START, Fleet, S, Service, service
+from topazbank.wirenames import settings_from_wire
+
+SPEEDS = (0.5, 1.0, 2.0)
+NODES, SLOTS = 15, 2
+WARM_S, SPAN_S = 20.0, 60.0
+EXAMPLE = Path(__file__).parent.parent / "deploy" / "example.json"
+
+
+def play(forwarders: int, load: float, seed: int, planners: int) -> Service:
+    settings = settings_from_wire(json.loads(EXAMPLE.read_text(encoding="utf-8"))["settings"])
+    nodes = [(f"n-{each:02}", SPEEDS[each % 3], SLOTS, each % 3) for each in range(NODES)]
+    fleet = Fleet(settings, forwarders=forwarders, nodes=nodes, planners=planners, seed=seed)
+    able = sum(speed * slots for _, speed, slots, _ in nodes)
+    fleet.load(float(forwarders), WARM_S + SPAN_S, load * able / forwarders, seed)
+    until = START + int((WARM_S + SPAN_S) * S)
+    fleet.run(until + 3 * S)
+    return service(fleet, START + int(WARM_S * S), until)
+
+
+def both(job: tuple[int, float, int]) -> tuple[Service, Service]:
+    forwarders, load, seed = job
+    return play(forwarders, load, seed, 0), play(forwarders, load, seed, 1)
+
+
+def mean_and_bar(values: list[float]) -> tuple[float, float]:
+    bar = 2.0 * statistics.stdev(values) / math.sqrt(len(values)) if len(values) > 1 else math.inf
+    return statistics.fmean(values), bar
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.quiet_forwarders", description=__doc__)
+    parser.add_argument("--forwarders", type=int, default=200)
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--loads", type=float, nargs="+", default=[0.6, 0.7, 0.8])
+    given = parser.parse_args()
+    print(f"{'load':>5}  {'':<12}{'alone':>9}{'planned':>9}{'difference':>12}{'bar':>8}")
+    with ProcessPoolExecutor(6) as pool:
+        for load in given.loads:
+            jobs = [(given.forwarders, load, seed) for seed in range(1, given.seeds + 1)]
+            pairs = list(pool.map(both, jobs))
+            for name in ("late", "p99", "p50", "served"):
+                alone = [getattr(each, name) for each, _ in pairs]
+                planned = [getattr(each, name) for _, each in pairs]
+                difference, bar = mean_and_bar([b - a for a, b in zip(alone, planned, strict=True)])
+                told = "" if abs(difference) > bar else "  can't be told apart"
+                print(
+                    f"{load:>5.2f}  {name:<12}{statistics.fmean(alone):>9.4f}{statistics.fmean(planned):>9.4f}"
+                    f"{difference:>+12.4f}{bar:>8.4f}{told}",
+                    flush=True,
+                )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
