Planners and forwarders over sockets: summaries, plans, elections, and scenes that break them

A planner listens for forwarders by MessagePack-RPC, leads by the lowest ephemeral sequential node of an ensemble (its number is the epoch) or by rank without one, and knows the nodes by the same membership sources as a sidecar. A sidecar whose operator file names planners tells all of them what it sees and follows the leader's plans; without, nothing changes and nothing is imported. The fleet rig kills, stalls and partitions planners through proxies of our own.

--- a/standins/fleet/__main__.py
+++ b/standins/fleet/__main__.py
@@ -13,7 +13,7 @@
 import sys
 
 from standins.fleet.judge import Verdicts
-from standins.fleet.scenes import SCENES, outage_beside_fixed_list, play
+from standins.fleet.scenes import PLANNED, SCENES, outage_beside_fixed_list, play
 
 HEAD = (
     f"{'':<32}{'seed':>5}{'calls':>8}{'served':>9}{'in aim':>9}{'refused':>9}{'failed':>8}{'lost':>6}  rules"
@@ -35,7 +35,7 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(prog="standins.fleet", description=__doc__)
-    parser.add_argument("scenes", nargs="*", choices=[*SCENES, []], default=[])
+    parser.add_argument("scenes", nargs="*", choices=[*SCENES, *PLANNED, []], default=[])
     parser.add_argument("--pace", type=float, default=1.0, help="seconds that a step lasts")
     parser.add_argument("--rate", type=float, default=150.0, help="calls a second")
     parser.add_argument("--seeds", type=int, default=1)
@@ -49,7 +49,7 @@
             for name, rig in zip(("ensemble out", "fixed list"), rigs, strict=True):
                 broken += show(name, seed, rig.verdicts())
             continue
-        for name in given.scenes or SCENES:
+        for name in given.scenes or SCENES | PLANNED:
             broken += show(name, seed, asyncio.run(play(name, given.pace, given.rate, seed)).verdicts())
     return 1 if broken else 0
 
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -14,6 +14,7 @@
 
 from standins.clients import HttpCaller, Wish
 from standins.fleet.judge import Called, Reached, Verdicts, Word, judge
+from standins.fleet.proxy import Proxy
 from standins.lodge import SPEEDS, Lodge, LodgeServer, Memory, RunLog
 from standins.wire import HTTP, MSGPACK_RPC, Address, Asked
 from standins.zookeeper import Ensemble
@@ -24,9 +25,13 @@
 from topazbank.membership.registrar import Standing as NodeStanding
 from topazbank.membership.roster import Registration
 from topazbank.membership.zkclient import Ensemble as Where
-from topazbank.operator import ZOOKEEPER, Membership, MsgpackRpc, Operator, ZooKeeper
+from topazbank.operator import ZOOKEEPER, Membership, MsgpackRpc, Operator, Planning, ZooKeeper
+from topazbank.planning.election import Election
+from topazbank.planning.forwarder import Forwarding
+from topazbank.planning.plan import Following
+from topazbank.planning.server import PlannerServer
 from topazbank.wirenames import settings_from_wire
-from topazbank.wiring import wire
+from topazbank.wiring import membership_source, wire
 
 EXAMPLE = Path(__file__).parent.parent.parent / "deploy" / "example.json"
 PATH = "/lodge/nodes"
@@ -74,8 +79,17 @@
     """Nodes of three speeds in two pods, one of each protocol, some sidecars, and a steady rate of calls."""
 
     def __init__(
-        self, *, nodes: int = 6, sidecars: int = 2, seed: int = 1, session_s: float = 1.0, fixed: bool = False
+        self,
+        *,
+        nodes: int = 6,
+        sidecars: int = 2,
+        planners: int = 0,
+        by_rank: bool = False,
+        seed: int = 1,
+        session_s: float = 1.0,
+        fixed: bool = False,
     ) -> None:
+        """`by_rank`: planners tell who leads without the ensemble."""
         self.random = random.Random(seed)
         self.ensemble = Ensemble(3, seed)
         self.nodes: dict[str, LodgeServer] = {}
@@ -86,6 +100,11 @@
         self.words: list[Word] = []
         self._fallen: list[str] = []
         self._reached: list[Reached] = []
+        self.planners: list[PlannerServer | None] = [None] * planners
+        self.elections: list[Election | None] = [None] * planners
+        self.ways: dict[tuple[int, int], Proxy] = {}  # from each sidecar to each planner
+        self._planner_addresses: list[Address] = [("127.0.0.1", 0)] * planners
+        self._by_rank = by_rank
         self._count, self._sidecars, self._session_s = nodes, sidecars, session_s
         self._memories = [Memory(), Memory()]
         self.processes: list[Process | None] = [None] * sidecars
@@ -106,6 +125,8 @@
         for number in range(self._count):
             await self.launch(f"n-{number}")
         await until(lambda: all(each.standing is NodeStanding.IN for each in self.registrars.values()))
+        for number in range(len(self.planners)):
+            await self.start_planner(number)
         for number in range(self._sidecars):
             await self.start_sidecar(number, self._list() if self.fixed else [])
         everyone = set(self.nodes)
@@ -122,6 +143,10 @@
                 process.task.cancel()
                 process.sidecar._discovery.stop()
                 process.sidecar.frontend.stop()
+        for number in range(len(self.planners)):
+            self.kill_planner(number)
+        for way in self.ways.values():
+            way.stop()
         for registrar in self.registrars.values():
             registrar.crash()
         for node in self.nodes.values():
@@ -213,10 +238,13 @@
     # -- Sidecars --------------------------------------------------------------------------------------
 
     async def start_sidecar(self, number: int, known: list[Listed]) -> None:
-        place = ZooKeeper(self._members(), PATH, "", max(self._session_s, 2.0))
-        wiring = wire(
-            Operator(MsgpackRpc(clients=True, nodes=True), membership=Membership((ZOOKEEPER,), place))
+        ways = [await self._way(number, planner) for planner in range(len(self.planners))]
+        operator = Operator(
+            MsgpackRpc(clients=True, nodes=True),
+            membership=self._membership(),
+            planning=Planning(tuple(ways), f"f-{number}"),
         )
+        wiring = wire(operator)
         if self.fixed:
             wiring = replace(wiring, source=lambda config, told: Silent())
         wiring = self._overheard(wiring, number)
@@ -299,6 +327,61 @@
         several = [each.sidecar._discovery for each in self.processes if each is not None]
         return [each._sources[ZOOKEEPER] for each in several if not isinstance(each, Silent)]  # type: ignore[attr-defined]
 
+    def _membership(self) -> Membership:
+        return Membership((ZOOKEEPER,), ZooKeeper(self._members(), PATH, "", max(self._session_s, 2.0)))
+
+    # -- Planners --------------------------------------------------------------------------------------
+
+    async def start_planner(self, number: int) -> None:
+        """A planner's process starts, or starts again having forgotten all."""
+        name, membership = f"p-{number}", self._membership()
+        server = PlannerServer(
+            name,
+            lambda told: membership_source(membership, None, told),
+            number if self._by_rank else None,
+        )
+        await server.start(self._planner_addresses[number])
+        self._planner_addresses[number] = server.address
+        self.planners[number] = server
+        if not self._by_rank:
+            election = Election(
+                Where(self._members(), self._session_s), "/lodge/planners", name, server.lead, number
+            )
+            election.start()
+            self.elections[number] = election
+
+    def kill_planner(self, number: int) -> None:
+        server, election = self.planners[number], self.elections[number]
+        self.planners[number] = self.elections[number] = None
+        if server is not None:
+            server.stop()
+        if election is not None:
+            election.stop()
+
+    def leader(self) -> int | None:
+        """The planner that leads by the highest epoch."""
+        epochs = {n: each.planner.epoch for n, each in enumerate(self.planners) if each is not None}
+        leading = {number: epoch for number, epoch in epochs.items() if epoch is not None}
+        return max(leading, key=leading.__getitem__) if leading else None
+
+    async def _way(self, sidecar: int, planner: int) -> Address:
+        if (sidecar, planner) not in self.ways:
+            way = Proxy(self._planner_addresses[planner])
+            await way.start()
+            self.ways[sidecar, planner] = way
+        return self.ways[sidecar, planner].address
+
+    def following(self, number: int) -> Following | None:
+        """What a sidecar follows; None while it is not there."""
+        process = self.processes[number]
+        if process is None or not isinstance(process.sidecar._observer, Forwarding):
+            return None
+        return process.sidecar._observer.follower.following(process.sidecar._clock.now())
+
+    def trusts(self) -> list[float]:
+        found = [self.following(number) for number in range(len(self.processes))]
+        return [each.trust for each in found if each is not None]
+
     # -- Calls -----------------------------------------------------------------------------------------
 
     async def load(self, rate: float, over: asyncio.Event) -> None:
--- a/standins/fleet/scenes.py
+++ b/standins/fleet/scenes.py
@@ -110,6 +110,74 @@
     await asyncio.sleep(pace)
 
 
+# -- With planners ------------------------------------------------------------------------------------
+
+
+async def planners_die(rig: Rig, pace: float) -> None:
+    """The leader dies, then the other, while a node dies too; both come back having forgotten all."""
+    await until(lambda: rig.leader() is not None and min(rig.trusts()) > 0.3)
+    first = rig.leader()
+    assert first is not None
+    rig.kill_planner(first)
+    await until(lambda: rig.leader() not in (None, first))
+    await asyncio.sleep(pace)
+    rig.kill_planner(1 - first)
+    rig.die("n-1")
+    await until(lambda: max(rig.trusts()) == 0.0)
+    await asyncio.sleep(pace)
+    for number in (0, 1):
+        await rig.start_planner(number)
+    await until(lambda: min(rig.trusts()) > 0.3)
+
+
+async def planner_stalls(rig: Rig, pace: float) -> None:
+    """The leader stands still and goes on with what it was told before; a node leaves meanwhile."""
+    await until(lambda: rig.leader() is not None and min(rig.trusts()) > 0.3)
+    leader = rig.leader()
+    ways = [way for (_, planner), way in rig.ways.items() if planner == leader]
+    for way in ways:
+        way.hold()
+    await rig.leave("n-4", after_s=0.6)
+    await asyncio.sleep(2 * pace)
+    for way in ways:
+        way.heal()
+    await asyncio.sleep(pace)
+
+
+async def planners_partitioned(rig: Rig, pace: float) -> None:
+    """One sidecar can't reach the leader, then its answers don't come back, then the leader loses the ensemble."""
+    await until(lambda: rig.leader() is not None and min(rig.trusts()) > 0.3)
+    leader = rig.leader()
+    assert leader is not None
+    rig.ways[0, leader].cut()
+    await asyncio.sleep(pace)
+    rig.ways[0, leader].heal()
+    rig.ways[1, leader].hold(forth=False)
+    await asyncio.sleep(pace)
+    rig.ways[1, leader].heal()
+    election = rig.elections[leader]
+    if election is not None:
+        rig.ensemble.expire(election._session.ident)
+        await until(lambda: rig.leader() not in (None, leader))
+    rig.die("n-2")
+    await asyncio.sleep(pace)
+
+
+async def all_restart(rig: Rig, pace: float) -> None:
+    """All planners at once, then all sidecars."""
+    await until(lambda: rig.leader() is not None and min(rig.trusts()) > 0.3)
+    for number in (0, 1):
+        rig.kill_planner(number)
+    for number in (0, 1):
+        await rig.start_planner(number)
+    await asyncio.sleep(pace)
+    await asyncio.gather(*(rig.restart_sidecar(number) for number in range(len(rig.processes))))
+    await until(lambda: len(rig.trusts()) == len(rig.processes) and min(rig.trusts()) > 0.3)
+
+
+PLANNED: dict[str, Scene] = {
+    each.__name__: each for each in (planners_die, planner_stalls, planners_partitioned, all_restart)
+}
 SCENES: dict[str, Scene] = {
     each.__name__: each
     for each in (
@@ -125,15 +193,15 @@
 }
 
 
-async def play(name: str, pace: float, rate: float, seed: int, fixed: bool = False) -> Rig:
+async def play(name: str, pace: float, rate: float, seed: int, by_rank: bool = False) -> Rig:
     """One scene under load, from a calm second to one after it; the rig is stopped, its logs are there."""
-    rig = Rig(seed=seed, fixed=fixed)
+    rig = Rig(seed=seed, planners=2 if name in PLANNED else 0, by_rank=by_rank)
     await rig.start()
     try:
         over = asyncio.Event()
         load = asyncio.get_running_loop().create_task(rig.load(rate, over))
         await asyncio.sleep(pace / 2)
-        await SCENES[name](rig, pace)
+        await (SCENES | PLANNED)[name](rig, pace)
         await asyncio.sleep(pace / 2)
         over.set()
         await load
--- a/standins/fleet/simulated.py
+++ b/standins/fleet/simulated.py
@@ -253,7 +253,7 @@
         fleet, follower = self.fleet, self.follower
         assert follower is not None
         following = follower.following(fleet.now)
-        ejected = frozenset(each.name for each in self.balancer._ejected if each.ejected_until is not None)
+        ejected = frozenset(each.name for each in self.balancer.ejected if each.ejected_until is not None)
         summary = self.collector.take(
             fleet.now, self.name, self.life, (following.epoch, following.planner, following.sequence), ejected
         )
--- a/tests/planning/test_planner.py
+++ b/tests/planning/test_planner.py
@@ -14,7 +14,7 @@
 from topazbank.planning.summary import NODES_MOST, Collector, NodeUse, Sketch, Summary
 
 NODES = {f"n-{number}": Member(f"n-{number}", (0.5, 1.0, 2.0)[number % 3]) for number in range(6)}
-SUMMARY = Summary("f", "life", 1, S // 10, -1, "", -1, {"look": (1, 1, 0)}, {})
+SUMMARY = Summary("f", "life", 1, S // 10, -1, "", -1, None, {"look": (1, 1, 0)}, {})
 
 
 def leading(epoch: int = 1, members: dict[str, Member] | None = None) -> Planner:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -293,7 +293,7 @@
     stage.balancer._eject(taken, "test")
     others = [each for each in names(3) if each != taken.name]
     stage.servers(others)
-    assert set(stage.balancer._servers) == set(names(3)) and not stage.balancer._ejected
+    assert set(stage.balancer._servers) == set(names(3)) and not stage.balancer.ejected
     stage.play(AttemptEnded(request, 0, taken.name, Outcome.DROPPED, 1, False))
     stage.servers(others)
     assert set(stage.balancer._servers) == set(others) == {s.name for s in stage.balancer._numbered.values()}
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -275,7 +275,7 @@
         self._pending = 0  # attempts out
         self._stuck = 0  # of these, at ejected servers
         self._ghosts: list[int] = []  # when each attempt given up on stops counting, soonest first
-        self._ejected: list[Server] = []
+        self.ejected: list[Server] = []
         self._remote = 1.0  # odds of a server in another zone, as of _remote_at
         self._remote_at = -1
         self._bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
@@ -429,7 +429,7 @@
     def _forget_gone(self, server: Server) -> None:
         """A server that has gone is no longer ejected: it would keep others from that; nor kept for long."""
         if server.ejected_until is not None:
-            self._ejected.remove(server)
+            self.ejected.remove(server)
             self._stuck -= server.in_flight
             server.ejected_until = None
         if not self._busy(server) and server.probed_at is None:
@@ -1146,9 +1146,9 @@
         if server.state is ServerState.GONE:
             return
         if server.ejected_until is None:
-            if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
+            if len(self.ejected) + 1 > most * min(len(self._ready), self._reach()):
                 return
-            self._ejected.append(server)
+            self.ejected.append(server)
             self._stuck += server.in_flight
             self._actions.append(Log(f"ejected {server.name}: {reason}"))
         aims = min(EJECT_AIMS * 2**server.ejections, EJECT_AIMS_MOST)
@@ -1158,7 +1158,7 @@
 
     def _readmit(self, server: Server) -> None:
         server.ejected_until = None
-        self._ejected.remove(server)
+        self.ejected.remove(server)
         self._stuck -= server.in_flight
         server.ejections = server.strikes = 0
         if server.cold_since is not None and server.cold_since != server.started_at:
@@ -1169,7 +1169,7 @@
         """An ejected server comes back by one trial at a time, with a request that may be repeated."""
         if request.kind.repeat is not Repeat.SAFE or request.attempts:
             return None
-        due = (each for each in self._ejected if self._now >= (each.ejected_until or 0) and not each.trial)
+        due = (each for each in self.ejected if self._now >= (each.ejected_until or 0) and not each.trial)
         fit = (each for each in due if each.state is ServerState.READY)
         return next((each for each in fit if self._cold_room(each, request.cost)), None)
 
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -12,10 +12,10 @@
 import logging
 import time
 from collections import deque
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 from topazbank.balancer import Balancer
 from topazbank.core.call import FAILED, Answer, Call, Hooks, Response, Rulebook, Verdict
@@ -33,6 +33,7 @@
     Fail,
     FetchList,
     Follow,
+    Guide,
     ListedServer,
     ListKind,
     Log,
@@ -105,6 +106,28 @@
     known: Told
 
 
+class Observer(Guide, Protocol):
+    """What watches the sidecar's requests and may guide its decision module; none costs nothing."""
+
+    def start(self, ejected: Callable[[], Collection[str]]) -> None: ...
+
+    def stop(self) -> None: ...
+
+    def listed(self, servers: Sequence[ListedServer]) -> None: ...
+
+    def arrived(self, kind: str) -> None: ...
+
+    def answered(self, kind: str, served: bool) -> None: ...
+
+    def sent(self, server: str) -> None: ...
+
+    def ended(
+        self, server: str, delivered: bool, elapsed_us: int, report: Mapping[str, float] | None
+    ) -> None: ...
+
+    def show(self) -> dict[str, Any]: ...
+
+
 @dataclass(frozen=True, slots=True)
 class Wiring:
     """The protocols that a sidecar speaks: what makes its clients' connections, and its carriers by name."""
@@ -115,6 +138,7 @@
     source: Callable[[Config, Callable[[Told | None], None]], Source]
     show_roster: bool = False  # whether clients may ask for the list as it stands
     dialects: Dialects = field(default_factory=Dialects)
+    observer: Callable[[Config, Callable[[], int]], Observer] | None = None
 
 
 class Sidecar:
@@ -123,7 +147,8 @@
     def __init__(self, config: Config, wiring: Wiring, clock: Clock | None = None) -> None:
         self._settings = settings = config.settings
         self._clock = clock or Clock()
-        self._balancer = Balancer(settings, config.seed)
+        self._observer = wiring.observer(config, self._clock.now) if wiring.observer is not None else None
+        self._balancer = Balancer(settings, config.seed, self._observer)
         self._live: dict[int, Live] = {}
         self._by_call: dict[Call, Live] = {}
         self._out: set[str] = set()  # the ids that the application gave to what is live
@@ -164,10 +189,14 @@
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
         self.frontend.start()
+        if self._observer is not None:
+            self._observer.start(lambda: [each.name for each in self._balancer.ejected])
         lag = asyncio.get_running_loop().create_task(self._watch_lag())
         await stop.wait()
         await self._drain()
         lag.cancel()
+        if self._observer is not None:
+            self._observer.stop()
         self._discovery.stop()
         await self._nodes.close()
 
@@ -267,6 +296,8 @@
         live = Live(next(self._idents), call, self._clock.now() + call.budget_us)
         self._live[live.ident] = self._by_call[call] = live
         self._out.add(call.ident)
+        if self._observer is not None:
+            self._observer.arrived(call.kind.name)
         at = self._clock.on_loop(live.answer_by)
         live.backstop = asyncio.get_running_loop().call_at(at, self._give_up, live.ident)
         self.handle(
@@ -293,6 +324,8 @@
     def _answer(self, live: Live, answer: Answer) -> None:
         if live.answered:
             return
+        if self._observer is not None:
+            self._observer.answered(live.call.kind.name, answer.verdict is Verdict.SERVED)
         self._mark_answered(live)
         live.call.answer(answer)
 
@@ -333,6 +366,8 @@
             return
         live.sent += 1
         live.out[index] = None
+        if self._observer is not None:
+            self._observer.sent(action.server)
         last = not 0 < action.until < live.answer_by
         until = self._clock.on_loop(live.answer_by if last else action.until)
         ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
@@ -354,6 +389,8 @@
             self._answer(live, Answer(Verdict.SERVED, response.body, response.about))
         elapsed = self._clock.now() - sent_at
         report = response.report if response is not None else None
+        if self._observer is not None:
+            self._observer.ended(server, outcome is Outcome.DELIVERED, elapsed, report)
         self._forget_if_over(live)
         self.handle(AttemptEnded(live.ident, index, server, outcome, elapsed, live.answered, report))
 
@@ -412,6 +449,8 @@
         for name in self._nodes.displace(self._listing.awaits):
             self._listing.displaced(name)
             servers.append(ListedServer(name, state=ServerState.GONE))
+        if self._observer is not None:
+            self._observer.listed(servers)
         self.handle(ServersListed(kind, servers, self._listing.version))
 
     def _show_roster(self) -> bytes:
@@ -436,9 +475,13 @@
             }
             for each in self._discovery.standing()
         ]
-        return json.dumps(
-            {"sources": sources, "nodes": sorted(nodes, key=lambda each: str(each["name"]))}
-        ).encode()
+        told: dict[str, Any] = {
+            "sources": sources,
+            "nodes": sorted(nodes, key=lambda each: str(each["name"])),
+        }
+        if self._observer is not None:
+            told["plan"] = self._observer.show()
+        return json.dumps(told).encode()
 
     @staticmethod
     def _not_spoken(server: ListedServer, protocol: str) -> ListedServer:
--- a/topazbank/membership/zkwire.py
+++ b/topazbank/membership/zkwire.py
@@ -17,7 +17,7 @@
 WATCHES_MOST = 128 * 1024  # bytes of paths in one record that sets watches anew; servers take 1 MiB
 WATCH_XID, PING_XID, AUTH_XID, SET_WATCHES_XID = -1, -2, -4, -8
 ANY_VERSION = -1
-EPHEMERAL = 1
+EPHEMERAL, SEQUENTIAL = 1, 2  # bits of create's flags
 
 
 @unique
--- a/topazbank/operator.py
+++ b/topazbank/operator.py
@@ -24,6 +24,8 @@
 
 REGISTRY, ZOOKEEPER = "registry", "zookeeper"
 SOURCES = (REGISTRY, ZOOKEEPER)
+PLANNERS_MOST = 7  # that a forwarder tells: each hears each summary
+TEXT_MOST = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +46,24 @@
     sources: tuple[str, ...] = (REGISTRY,)  # in their precedence
     zookeeper: ZooKeeper = field(default_factory=ZooKeeper)
 
+    @property
+    def needs_registry(self) -> bool:
+        return REGISTRY in self.sources
+
+
+@dataclass(frozen=True, slots=True)
+class Planning:
+    """Planners that this forwarder tells and follows; with none it decides alone."""
+
+    planners: tuple[Address, ...] = ()
+    name: str = ""  # of this forwarder among them; by default from the configuration's seed
+    listen: Address | None = None  # of a planner: where it listens
+    elect: str = "static"  # how planners tell who leads: static, or zookeeper
+    rank: int = 0  # of a planner, with static: 0 leads first
+
+
+ELECTIONS = ("static", ZOOKEEPER)
+
 
 @dataclass(frozen=True, slots=True)
 class Operator:
@@ -53,6 +73,7 @@
     protocol: str = HTTP  # of nodes whose entry and pod do not say
     pods: Mapping[int, str] = field(default_factory=dict)
     membership: Membership = field(default_factory=Membership)
+    planning: Planning = field(default_factory=Planning)
     show_roster: bool = False  # GET /admin/roster on the one listener
 
 
@@ -69,7 +90,7 @@
 
 def operator_from(given: Mapping[str, Any]) -> Operator:
     """Check what the file holds; a name that is not known is an error, since it would set nothing."""
-    top = _Table("", given, ("msgpack_rpc", "nodes", "membership", "admin"))
+    top = _Table("", given, ("msgpack_rpc", "nodes", "membership", "planning", "admin"))
     admin = top.table("admin", ("roster",))
     rpc = top.table("msgpack_rpc", MsgpackRpc.__dataclass_fields__)
     nodes = top.table("nodes", ("protocol", "pods"))
@@ -81,7 +102,9 @@
         connections_per_node=rpc.whole("connections_per_node", 64, 1, 4096),
     )
     default, pods = nodes.protocol("protocol", HTTP), nodes.pods("pods")
-    operator = Operator(made, default, pods, _membership(top), admin.flag("roster"))
+    operator = Operator(
+        made, default, pods, _membership(top), _planning(top), show_roster=admin.flag("roster")
+    )
     named = {operator.protocol, *operator.pods.values()}
     if MSGPACK_RPC in named and not made.nodes:
         raise ValueError(f"nodes: {MSGPACK_RPC} is named, but msgpack_rpc.nodes is not true")
@@ -108,6 +131,24 @@
     return Membership(sources, made)
 
 
+def _planning(top: _Table) -> Planning:
+    given = top.table("planning", Planning.__dataclass_fields__)
+    listen = given.text("listen", "")
+    try:
+        address = parse_address(listen) if listen else None
+    except ValueError as bad:
+        raise ValueError(f"planning.listen: {bad}") from None
+    elect = given.text("elect", "static")
+    if elect not in ELECTIONS:
+        raise ValueError(f"planning.elect: {' or '.join(ELECTIONS)} is wanted, not {elect!r:.40}")
+    made = Planning(
+        given.addresses("planners"), given.text("name", ""), address, elect, given.whole("rank", 0, 0, 255)
+    )
+    if len(made.planners) > PLANNERS_MOST:
+        raise ValueError(f"planning.planners: {PLANNERS_MOST} at most are wanted")
+    return made
+
+
 class _Table:
     """One table of the file; each complaint names the path of the field."""
 
@@ -157,6 +198,12 @@
             pods[int(pod)] = inner.protocol(pod, HTTP)
         return pods
 
+    def text(self, name: str, default: str) -> str:
+        value = self._given.get(name, default)
+        if not isinstance(value, str) or len(value) > TEXT_MOST:
+            raise self._wanted(name, f"a text of {TEXT_MOST} characters at most")
+        return value
+
     def texts(self, name: str, default: tuple[str, ...] = ()) -> tuple[str, ...]:
         value = self._given.get(name, list(default))
         if not isinstance(value, list) or not all(isinstance(each, str) for each in value):
--- /dev/null
+++ b/topazbank/planning/forwarder.py
@@ -0,0 +1,137 @@
+"""What planning adds to a sidecar: it watches what passes, tells planners, and guides the decision module."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Collection, Mapping, Sequence
+from typing import Any
+
+from topazbank.core.net import Address
+from topazbank.interface import ListedServer, ServerState
+from topazbank.planning.link import PERIOD_MOST, PlannerLink
+from topazbank.planning.plan import Follower, Plan, S
+from topazbank.planning.summary import Collector
+from topazbank.planning.wire import encode_summary
+
+PERIOD = S // 10  # between summaries until a planner asks for another
+JITTER = 0.1  # of a period: forwarders that started together spread out
+
+
+class Forwarding:
+    """One forwarder's part in planning (topazbank.core.driver.Observer)."""
+
+    def __init__(self, name: str, planners: Sequence[Address], now: Callable[[], int], seed: int) -> None:
+        self._random = random.Random(seed)
+        self.follower = Follower(name, f"{self._random.getrandbits(64):016x}")
+        self._collector = Collector()
+        self._ready: set[str] = set()
+        self._now = now
+        self._links = [PlannerLink(each, now, self._hear, seed + n) for n, each in enumerate(planners)]
+        self._timer: asyncio.TimerHandle | None = None
+        self._ejected: Callable[[], Collection[str]] = tuple
+
+    # -- What the driver tells --------------------------------------------------------------------------
+
+    def start(self, ejected: Callable[[], Collection[str]]) -> None:
+        """Begin to tell planners; `ejected` gives the nodes that the decision module leaves alone."""
+        self._ejected = ejected
+        self._later(self._random.random())
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        for link in self._links:
+            link.stop()
+
+    def listed(self, servers: Sequence[ListedServer]) -> None:
+        for each in servers:
+            if each.state is ServerState.READY:
+                self._ready.add(each.server)
+            else:
+                self._ready.discard(each.server)
+        if servers:
+            self.follower.listed(self._ready)
+
+    def arrived(self, kind: str) -> None:
+        self._collector.arrived(kind)
+
+    def answered(self, kind: str, served: bool) -> None:
+        if served:
+            self._collector.served(kind)
+        else:
+            self._collector.turned_away(kind)
+
+    def sent(self, server: str) -> None:
+        self._collector.sent(server)
+
+    def ended(
+        self, server: str, delivered: bool, elapsed_us: int, report: Mapping[str, float] | None
+    ) -> None:
+        self._collector.ended(self._now(), server, delivered, elapsed_us, report)
+
+    # -- The guide -------------------------------------------------------------------------------------
+
+    def drawn(self, now: int, chance: Callable[[], float]) -> Sequence[str]:
+        return self.follower.drawn(now, chance)
+
+    def room(self, server: str) -> float:
+        return self.follower.room(server)
+
+    def cold(self, server: str, now: int) -> float:
+        return self.follower.cold(server, now)
+
+    # -- Planners --------------------------------------------------------------------------------------
+
+    def _tell(self) -> None:
+        now = self._now()
+        following = self.follower.following(now)
+        summary = self._collector.take(
+            now,
+            self.follower.name,
+            self.follower.life,
+            (following.epoch, following.planner, following.sequence),
+            frozenset(self._ejected()),
+        )
+        summary.age = following.age
+        encoded = encode_summary(summary)
+        for link in self._links:
+            link.send(encoded)
+        self._later(1.0 + JITTER * (self._random.random() - 0.5))
+
+    def _later(self, periods: float) -> None:
+        asked = [each.period for each in self._links if each.period is not None]
+        period = min(max(asked, default=PERIOD), PERIOD_MOST)
+        self._timer = asyncio.get_running_loop().call_later(periods * period / S, self._tell)
+
+    def _hear(self, asked_at: int, plan: Plan) -> None:
+        self.follower.offer(self._now(), asked_at, plan, self._ready)
+
+    # -- For operators ---------------------------------------------------------------------------------
+
+    def show(self) -> dict[str, Any]:
+        """What is followed and why, as plain data."""
+        following = self.follower.following(self._now())
+        return {
+            "forwarder": self.follower.name,
+            "epoch": following.epoch,
+            "planner": following.planner,
+            "sequence": following.sequence,
+            "trust": round(following.trust, 3),
+            "age_s": None if following.age is None else following.age / S,
+            "last": following.last,
+            "refused": dict(following.refused),
+            "planners": [
+                {
+                    "address": f"{link.address[0]}:{link.address[1]}",
+                    "answered": link.answered,
+                    "bad": link.bad,
+                    "period_s": None if link.period is None else link.period / S,
+                }
+                for link in self._links
+            ],
+            "shares": {
+                name: {"odds": each.odds, "wait": each.wait, "room": each.room, "cold": each.cold}
+                for name, each in sorted(self.follower.shares().items())
+            },
+        }
--- a/topazbank/planning/summary.py
+++ b/topazbank/planning/summary.py
@@ -68,6 +68,7 @@
     epoch: int  # the highest seen
     planner: str
     sequence: int  # of the plan that is followed; -1: none
+    age: int | None = None  # of that plan; None: none is followed
     classes: dict[str, tuple[int, int, int]] = field(default_factory=dict)  # arrived, served, turned away
     nodes: dict[str, NodeUse] = field(default_factory=dict)  # NODES_MOST
     times: Sketch = field(default_factory=Sketch)
@@ -133,6 +134,7 @@
             epoch,
             planner,
             sequence,
+            None,
             {kind: (counts[0], counts[1], counts[2]) for kind, counts in self._classes.items()},
             dict(used[:NODES_MOST]),
             self._times,
--- a/topazbank/wiring.py
+++ b/topazbank/wiring.py
@@ -5,16 +5,17 @@
 from collections.abc import Callable, Mapping
 from functools import partial
 
-from topazbank.core.driver import Config, Wiring
+from topazbank.core.driver import Config, Observer, Wiring
 from topazbank.core.listener import Speaks
 from topazbank.core.members import Dialects, Source, Told
+from topazbank.core.net import Address
 from topazbank.core.nodes import HTTP, MSGPACK_RPC, Carrier, Slots
 from topazbank.http.front import HttpConnection
 from topazbank.http.upstream import HttpCarrier
 from topazbank.interface import Settings
 from topazbank.membership.both import Several
 from topazbank.membership.registry import Discovery
-from topazbank.operator import REGISTRY, ZOOKEEPER, Membership, Operator, ZooKeeper
+from topazbank.operator import REGISTRY, ZOOKEEPER, Membership, Operator, Planning, ZooKeeper
 
 
 def wire(operator: Operator) -> Wiring:
@@ -42,35 +43,51 @@
 
     dialects = Dialects(operator.protocol, operator.pods)
     return Wiring(
-        HttpConnection, binary, carriers, _sources(operator.membership), operator.show_roster, dialects
+        HttpConnection,
+        binary,
+        carriers,
+        partial(_source, operator.membership),
+        operator.show_roster,
+        dialects,
+        partial(_forwarding, operator.planning) if operator.planning.planners else None,
     )
 
 
+def _forwarding(given: Planning, config: Config, now: Callable[[], int]) -> Observer:
+    from topazbank.planning.forwarder import Forwarding
+
+    name = given.name or f"f-{config.seed & 0xFFFFFFFFFFFFFFFF:016x}"
+    return Forwarding(name, given.planners, now, config.seed)
+
+
 Hear = Callable[[Told | None], None]
 
 
-def _sources(membership: Membership) -> Callable[[Config, Hear], Source]:
-    """What makes the membership sources; the registry alone is itself, as the platform has it."""
-    if membership.sources == (REGISTRY,):
-        return _registry
+def _source(membership: Membership, config: Config, told: Hear) -> Source:
+    return membership_source(membership, config.discovery, told, config.known.version, config.seed)
 
-    def make(config: Config, told: Hear) -> Source:
-        makers: dict[str, Callable[[Hear], Source]] = {
-            REGISTRY: partial(_registry, config),
-            ZOOKEEPER: partial(_zookeeper, membership.zookeeper, config),
-        }
-        return Several({name: makers[name] for name in membership.sources}, told)
 
-    return make
+def membership_source(
+    membership: Membership, registry: Address | None, told: Hear, version: int = 0, seed: int | None = None
+) -> Source:
+    """The sources that an operator file names; the registry alone is itself, as the platform has it."""
+    makers: dict[str, Callable[[Hear], Source]] = {
+        REGISTRY: partial(_registry, registry, version),
+        ZOOKEEPER: partial(_zookeeper, membership.zookeeper, seed),
+    }
+    if membership.sources == (REGISTRY,):
+        return makers[REGISTRY](told)
+    return Several({name: makers[name] for name in membership.sources}, told)
 
 
-def _registry(config: Config, told: Hear) -> Source:
-    return Discovery(config.discovery, config.known.version, told)
+def _registry(address: Address | None, version: int, told: Hear) -> Source:
+    assert address is not None
+    return Discovery(address, version, told)
 
 
-def _zookeeper(given: ZooKeeper, config: Config, told: Hear) -> Source:
+def _zookeeper(given: ZooKeeper, seed: int | None, told: Hear) -> Source:
     from topazbank.membership.zkclient import Ensemble
     from topazbank.membership.zookeeper import ZooKeeperSource
 
     ensemble = Ensemble(given.members, given.session_timeout_s, given.chroot, given.secret)
-    return ZooKeeperSource(ensemble, given.path, told, config.seed)
+    return ZooKeeperSource(ensemble, given.path, told, seed)
