--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -93,6 +93,7 @@
 SILENT_AIMS = 0.5  # but never before this part of the aim
 GHOST_LIFE = 1.0  # an attempt given up on counts as in flight for as long again as it was waited for
 HEAVY_POWER = 3.0  # of pace, in the odds for a request of four times the mean cost or more
+GUIDED_PACE = 2.5  # a guide is not followed to a server that is so slow by this balancer's own answers
 PACE_STEP = 0.1  # a server's pace follows its last ten answers or so, or fewer where few are in flight
 PACE_CLIP = 4.0  # one answer counts for at most this many usual ones: heavy requests say little of a server
 NORM_STEP = 0.02  # the usual time and cost of a class follow its last fifty requests or so
@@ -297,8 +298,7 @@
         span = SPARSE_AIMS * self._longest_aim
         self._in_time, self._too_late, self._shed = Rate(span), Rate(span), Rate(span)
         self._bound = False  # whether the window refused anything since it was last sized
-        self._mean_load = 0.0  # own requests in flight, averaged
-        self._load_at = 0
+        self._mean_load, self._load_at = 0.0, 0  # own requests in flight, averaged, and when
         self._sized_at = self._sized_from = 0
         self._mix: dict[tuple[str, str | None], Mix] = {}
         self._take: dict[type[Any], Callable[[Any], None]] = {
@@ -711,7 +711,8 @@
     def _guided(self, request: Request, guide: Guide) -> Server | None:
         """Best of the few that the guide draws; none where it draws none, or none of them can be sent to."""
         drawn = [self._servers.get(name) for name in guide.drawn(self._now, self._random.random)]
-        fit = [s for s in drawn if s and s.state is ServerState.READY and self._eligible(s, request)]
+        able = [s for s in drawn if s and s.state is ServerState.READY and s.pace < GUIDED_PACE]
+        fit = [s for s in able if self._eligible(s, request)]
         return min((s for s in fit if self._busy(s) < guide.room(s.name)), key=self._busy, default=None)
 
     def _within_reach(self, servers: list[Server], request: Request) -> list[Server]:
@@ -721,8 +722,7 @@
         server, more than servers accept, and learn next to nothing of any.  A busy balancer reaches all.
         """
         reach = self._reach()
-        pool: list[Server] = []
-        shut: list[Server] = []
+        pool, shut = list[Server](), list[Server]()
         for each in servers:
             if self._eligible(each, request):
                 away = each.turned_away.get(request.flow)
--- a/topazbank/planning/planner.py
+++ b/topazbank/planning/planner.py
@@ -43,9 +43,9 @@
 FEW = 4.0  # answers: fewer say nothing of a node
 GAIN = 0.003  # a node that is e times as slow as explained loses this part of its weight a step
 FACTOR_LEAST, FACTOR_MOST = 0.1, 4.0  # of the nominal weight
+COLD_FROM, COLD = 0.14, 22 * S  # a node that starts can do this part of its work, and all of it so much later
 ROOM_SPARE = 3.0  # a forwarder's room is so many times its fair part of what nodes hold
 ROOM_LEAST = 2.0
-COLD_SPARE = 2.0  # a forwarder's part of a cold node's budget is so many times its part of all requests
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +70,7 @@
     faded_at: int = 0
     held: float = 0.0
     held_at: int = -1
+    warmth: float = 1.0  # of its capacity: what it has by now
     slots: float = 1.0  # that it runs at once: the most that a report told
     ejected_by: set[str] = field(default_factory=set)  # forwarders
 
@@ -83,7 +84,7 @@
             self.faded_at = now
 
     def weight(self) -> float:
-        return self.member.weight * self.factor
+        return self.member.weight * self.factor * self.warmth
 
     def wait(self, held: float) -> float:
         """How long one more request would take, in units of one alone at weight 1: what is held goes first."""
@@ -260,6 +261,8 @@
         explained = time = 0.0
         for node in self._nodes.values():
             node.fade(now)
+            left = max(node.member.cold_until - now, 0) / COLD
+            node.warmth = max(1.0 - (1.0 - COLD_FROM) * left, COLD_FROM)
             explained += node.explained
             time += node.time_us
         if explained <= 0.0:
@@ -314,7 +317,8 @@
         for each in self._subset(name):
             node = self._nodes[each]
             room = max(ROOM_LEAST, ROOM_SPARE * part * max(node.held, 8.0))
-            cold = min(1.0, COLD_SPARE * part) if now < node.member.cold_until else 1.0
+            # Each forwarder's own budget is by what it brings already; all use less while the node holds too much.
+            cold = min(1.0, node.slots / max(node.held, 1.0)) if node.warmth < 1.0 else 1.0
             odds, wait = self._odds.get(each, 0.0), self._waits.get(each, 0.0)
             shares[each] = Share(round(odds, 4), round(wait, 4), round(room, 1), round(cold, 4))
         return shares
