--- a/topazbank/http/connection.py
+++ b/topazbank/http/connection.py
@@ -13,6 +13,7 @@
 
 from topazbank.core.call import Headers
 from topazbank.core.net import Address, Reader, is_quiet, new_socket
+from topazbank.http.whole import read_response
 
 log = logging.getLogger(__name__)
 
@@ -73,7 +74,7 @@
         self._stall_s = stall_s  # what an answer that has begun may take; None: bounded elsewhere
         self._stall: asyncio.TimerHandle | None = None
         self._hints = 0  # 1xx answers to the request that is out
-        self._h11 = h11.Connection(h11.CLIENT)
+        self._h11: h11.Connection | None = None  # reads an answer that did not come whole and plain
         self._transport: asyncio.Transport | None = None
         self._ended: Callable[[HttpResponse | None], None] | None = None
         self._written = False
@@ -101,7 +102,7 @@
         """Write a request; `ended` is called once, with the whole answer or with None if it broke."""
         assert self._transport is not None
         self._ended, self._written, self._hints = ended, False, 0
-        self._h11 = _answer_reader()
+        self._h11 = None
         self._transport.write(data)
         # A failed write closes the transport and empties its buffer, with nothing of it sent.
         self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
@@ -113,8 +114,12 @@
         if self._ended is None:
             self.abort()  # stray bytes: what they answer is anyone's guess
             return
+        if self._h11 is None:
+            whole = read_response(data, self._body_most)
+            if whole is not None:
+                self._finish(HttpResponse(*whole), True)
+                return
         self._feed(data)
-
         if self._stall is None and self._stall_s is not None and self._has_begun():
             self._stall = asyncio.get_running_loop().call_later(self._stall_s, self._spoil, "it stalled")
 
@@ -125,12 +130,15 @@
 
     def _has_begun(self) -> bool:
         """Whether a part of the answer is here, and not all of it."""
-        return self._ended is not None and (self._head is not None or bool(self._h11.trailing_data[0]))
+        begun = self._h11 is not None and bool(self._h11.trailing_data[0])
+        return self._ended is not None and (self._head is not None or begun)
 
     def _feed(self, data: bytes) -> None:
+        if self._h11 is None:
+            self._h11 = _answer_reader()
         try:
             self._h11.receive_data(data)
-            while self._next_event():
+            while self._next_event(self._h11):
                 pass
         except h11.RemoteProtocolError as broken:
             if data:
@@ -144,8 +152,8 @@
         self.spoilt = True
         self._finish(None)
 
-    def _next_event(self) -> bool:
-        event = self._h11.next_event()
+    def _next_event(self, reader: h11.Connection) -> bool:
+        event = reader.next_event()
         if isinstance(event, h11.InformationalResponse):
             self._hints += 1
             if self._hints > _HINTS_MOST:
@@ -157,29 +165,29 @@
             if int(length) > self._body_most:
                 self._spoil("too long by its own account")
                 return False
-            return not self._is_all_here()
+            return not self._is_all_here(reader)
         elif isinstance(event, h11.Data):
             self._body += event.data
             if len(self._body) > self._body_most:
                 self._spoil("too long")
                 return False
         elif isinstance(event, h11.EndOfMessage):
-            done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-            self._finish(self._response(), done and not self._h11.trailing_data[0])
+            done = reader.our_state is h11.DONE and reader.their_state is h11.DONE
+            self._finish(self._response(), done and not reader.trailing_data[0])
             return False
         return not isinstance(event, h11.ConnectionClosed | type(h11.NEED_DATA))
 
-    def _is_all_here(self) -> bool:
+    def _is_all_here(self, reader: h11.Connection) -> bool:
         """Finish at once with a body that came with its head, as most do: that spares h11 two events."""
         assert self._head is not None
         framing = {name: value for name, value in self._headers if name in _FRAMING}
-        rest = self._h11.trailing_data[0]
+        rest = reader.trailing_data[0]
         if list(framing) != [b"content-length"] or int(framing[b"content-length"]) != len(rest):
             return False
         if self._head.status_code in _BODILESS:
             return False
         self._body += rest
-        self._finish(self._response(), self._h11.our_state is h11.DONE)
+        self._finish(self._response(), reader.our_state is h11.DONE)
         return True
 
     def _response(self) -> HttpResponse | None:
--- a/topazbank/http/front.py
+++ b/topazbank/http/front.py
@@ -24,6 +24,7 @@
 from topazbank.core.listener import ClientConnection, Frontend, Phase
 from topazbank.core.net import has_ended
 from topazbank.http.connection import ABOUT_BODY, end_to_end, message
+from topazbank.http.whole import RequestHead, read_request
 from topazbank.interface import Repeat
 
 log = logging.getLogger(__name__)
@@ -48,7 +49,9 @@
 _NUMBER = re.compile(r"[0-9]{1,10}(\.[0-9]{1,9})?", re.ASCII)
 
 
-def parse_call(head: h11.Request, body: bytes, rules: Rulebook, answer: Callable[[Answer], None]) -> Call:
+def parse_call(
+    head: h11.Request | RequestHead, body: bytes, rules: Rulebook, answer: Callable[[Answer], None]
+) -> Call:
     """Read a request of a client; raise BadCall where it makes no sense or breaks the settings."""
     given: dict[bytes, str] = {}
     headers = list(head.headers)  # h11 makes each pair anew whenever they are gone through
@@ -99,7 +102,7 @@
     def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
         super().__init__(frontend, sock)
         self._h11 = h11.Connection(h11.SERVER)
-        self._head: h11.Request | None = None
+        self._head: h11.Request | RequestHead | None = None
         self._body = bytearray()
         self._call: Call | None = None
         self._stuck = False  # the last answer is not all written yet
@@ -128,6 +131,12 @@
             # that gave up: done for all, it would keep the next ones waiting until they give up too.
             self.abort()
             return
+        if self._is_fresh():
+            whole = read_request(data, BODY_MOST)
+            if whole is not None:
+                self._head, self._body = whole[0], bytearray(whole[1])
+                self._take(self._whole)
+                return
         self._h11.receive_data(data)
         if self._call is not None:
             self._look_ahead()
@@ -173,11 +182,25 @@
         if len(behind) > BODY_MOST and self._transport is not None:
             self._transport.pause_reading()  # it sends ahead; what is held is bounded
 
+    def _is_fresh(self) -> bool:
+        """Whether nothing of a request has come and none is held."""
+        if self._call is not None or self._stuck or self._head is not None:
+            return False
+        return self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]
+
     def _read(self) -> None:
         """Take what has come, up to the end of one request."""
+        self._take(self._events)
+        if self.phase is Phase.RESTING and (self._head is not None or self._h11.trailing_data[0]):
+            self._frontend.move(self, Phase.WAITING)
+
+    def _events(self) -> None:
+        while self._next_event():
+            pass
+
+    def _take(self, read: Callable[[], None]) -> None:
         try:
-            while self._next_event():
-                pass
+            read()
         except BadCall as bad:
             self._reject(bad)
         except h11.RemoteProtocolError as bad:
@@ -188,8 +211,6 @@
                 self.abort()  # it was answered already
             else:
                 self._reject(BadCall(500, "internal error"))
-        if self.phase is Phase.RESTING and (self._head is not None or self._h11.trailing_data[0]):
-            self._frontend.move(self, Phase.WAITING)
 
     def _next_event(self) -> bool:
         event = self._h11.next_event()
@@ -254,7 +275,8 @@
         self._call = None
         if self._transport is None or self._transport.is_closing():
             return
-        ends = ends or self._frontend.draining or self._h11.their_state is not h11.DONE
+        read = isinstance(self._head, RequestHead) or self._h11.their_state is h11.DONE
+        ends = ends or self._frontend.draining or not read
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         if ends:
             headers.append((b"Connection", b"close"))
@@ -267,9 +289,10 @@
             self._linger()
             return
         behind = self._h11.trailing_data[0]
-        self._h11 = h11.Connection(h11.SERVER)  # each reads one request; it never hears of answers
-        if behind:
-            self._h11.receive_data(behind)
+        if behind or self._h11.their_state is not h11.IDLE:
+            self._h11 = h11.Connection(h11.SERVER)  # each reads one request; it never hears of answers
+            if behind:
+                self._h11.receive_data(behind)
         self._frontend.move(self, Phase.LEAVING if self._stuck else Phase.RESTING)
         if not self._stuck and (behind or not self._transport.is_reading()):
             asyncio.get_running_loop().call_soon(self._next_request)
