--- a/benchmarks/told_to_acted.py
+++ b/benchmarks/told_to_acted.py
@@ -79,7 +79,7 @@
 async def run(changes: int) -> int:
     ensemble = Ensemble(3)
     await ensemble.start()
-    members = tuple(each.server.address for each in ensemble.members if each.server is not None)
+    members = ensemble.addresses
     where = Where(members, 20.0)
     nodes = [await node(number) for number in range(NODES)]
     registrars = [registrar(where, server) for _, server in nodes]
--- a/standins/demo/__main__.py
+++ b/standins/demo/__main__.py
@@ -103,7 +103,7 @@
             f"{lodge.name}-{server.started_ms}",
             server.started_ms,
         )
-        registrar = Registrar(Where(_members(self.ensemble), SESSION_S), NODES, lodge.name, registration)
+        registrar = Registrar(Where(self.ensemble.addresses, SESSION_S), NODES, lodge.name, registration)
         self._registrars[lodge.name] = registrar
         registrar.start()
 
@@ -118,7 +118,7 @@
         path = folder / "operator.toml"
         text = OPERATOR.read_text(encoding="utf-8")
         if self.ensemble is not None:
-            members = ", ".join(f'"{place(each)}"' for each in _members(self.ensemble))
+            members = ", ".join(f'"{place(each)}"' for each in self.ensemble.addresses)
             text += (
                 f'\n[membership]\nsources = ["zookeeper"]\n[membership.zookeeper]\nmembers = [{members}]\n'
             )
@@ -143,10 +143,6 @@
             self.ensemble.stop()
 
 
-def _members(ensemble: Ensemble) -> tuple[Address, ...]:
-    return tuple(each.server.address for each in ensemble.members if each.server is not None)
-
-
 @contextlib.asynccontextmanager
 async def sidecar(fleet: Fleet, folder: Path) -> AsyncIterator[Address]:
     """The real program, with the example configuration made to fit; its log goes to a file in `folder`."""
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -186,7 +186,7 @@
             f"{name}-{server.started_ms}",
             server.started_ms,
         )
-        registrar = Registrar(Where(self._members(), self._session_s), PATH, name, registration)
+        registrar = Registrar(Where(self.ensemble.addresses, self._session_s), PATH, name, registration)
         self.registrars[name] = registrar
         registrar.start()
 
@@ -213,9 +213,6 @@
     def session_of(self, name: str) -> int:
         return self.registrars[name]._session.ident
 
-    def _members(self) -> tuple[Address, ...]:
-        return tuple(each.server.address for each in self.ensemble.members if each.server is not None)
-
     def _list(self) -> list[Listed]:
         """The nodes as a list from before a start."""
         return [
@@ -329,7 +326,9 @@
         return [each._sources[ZOOKEEPER] for each in several if not isinstance(each, Silent)]  # type: ignore[attr-defined]
 
     def _membership(self) -> Membership:
-        return Membership((ZOOKEEPER,), ZooKeeper(self._members(), PATH, "", max(self._session_s, 2.0)))
+        return Membership(
+            (ZOOKEEPER,), ZooKeeper(self.ensemble.addresses, PATH, "", max(self._session_s, 2.0))
+        )
 
     # -- Planners --------------------------------------------------------------------------------------
 
@@ -346,7 +345,7 @@
         self.planners[number] = server
         if not self._by_rank:
             election = Election(
-                Where(self._members(), self._session_s), "/lodge/planners", name, server.lead, number
+                Where(self.ensemble.addresses, self._session_s), "/lodge/planners", name, server.lead, number
             )
             election.start()
             self.elections[number] = election
--- a/standins/zookeeper/ensemble.py
+++ b/standins/zookeeper/ensemble.py
@@ -163,7 +163,11 @@
     @property
     def hosts(self) -> str:
         """As clients want them: host:port, with commas between."""
-        return ",".join(place(each.server.address) for each in self.members if each.server is not None)
+        return ",".join(map(place, self.addresses))
+
+    @property
+    def addresses(self) -> tuple[tuple[str, int], ...]:
+        return tuple(each.server.address for each in self.members if each.server is not None)
 
     def clock(self) -> float:
         """Seconds by which sessions are kept; it may run fast."""
--- a/tests/membership/test_histories.py
+++ b/tests/membership/test_histories.py
@@ -48,7 +48,7 @@
     async def start(self) -> None:
         await self.ensemble.start()
         await self.change(lambda draft: draft.create(PATH, b"", OPEN, 0))
-        members = tuple(each.server.address for each in self.ensemble.members if each.server is not None)
+        members = self.ensemble.addresses
         self.source = ZooKeeperSource(Where(members, 1.0), PATH, self.told, self.random.randrange(10**6))
         self.source.follow(True)
 
--- a/tests/membership/test_zookeeper.py
+++ b/tests/membership/test_zookeeper.py
@@ -46,7 +46,7 @@
 
 
 def where(ensemble: Ensemble, timeout_s: float = 20.0) -> Where:
-    members = tuple(each.server.address for each in ensemble.members if each.server is not None)
+    members = ensemble.addresses
     return Where(members, timeout_s)
 
 
--- a/tests/planning/test_lead.py
+++ b/tests/planning/test_lead.py
@@ -83,7 +83,7 @@
 class Candidate:
     def __init__(self, ensemble: Ensemble, name: str, seed: int) -> None:
         self.epochs: list[int | None] = []
-        members = tuple(each.server.address for each in ensemble.members if each.server is not None)
+        members = ensemble.addresses
         self.election = Election(Where(members, 1.0), "/lodge/planners", name, self.epochs.append, seed)
         self.election.start()
 
--- a/topazbank/core/listing.py
+++ b/topazbank/core/listing.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-from topazbank.core.members import Listed, Told
-from topazbank.interface import ListedServer, ServerState
+from topazbank.core.members import Listed, Told, as_gone
+from topazbank.interface import ServerState
 
 STEP = 100  # lines a step: about a millisecond
 
@@ -44,7 +44,7 @@
         listed = {line.server.server: line for line in lines}
         # Gone first.  The displaced come last: until their address is looked at anew they would count as there.
         for name in self._taken.keys() - listed.keys():
-            self._leaving[name] = _as_gone(self._taken[name])
+            self._leaving[name] = as_gone(self._taken[name])
         for name in self._displaced & listed.keys():
             listed[name] = listed.pop(name)
         self._displaced &= listed.keys()
@@ -94,11 +94,3 @@
 
     def told_at(self, name: str, default: float) -> float:
         return self._told_at.get(name, default)
-
-
-def _as_gone(line: Listed) -> Listed:
-    server = line.server
-    gone = ListedServer(
-        server.server, server.zone, server.kind, server.cell, ServerState.GONE, server.nominal
-    )
-    return Listed(gone, line.address, line.protocol)
--- a/topazbank/core/members.py
+++ b/topazbank/core/members.py
@@ -8,7 +8,7 @@
 
 from topazbank.core.net import Address
 from topazbank.core.nodes import HTTP
-from topazbank.interface import ListedServer
+from topazbank.interface import ListedServer, ServerState
 
 
 @dataclass(slots=True)
@@ -20,6 +20,15 @@
     protocol: str | None = None  # what it speaks; None where the entry does not say
 
 
+def as_gone(line: Listed) -> Listed:
+    """The same node, told to have gone."""
+    server = line.server
+    gone = ListedServer(
+        server.server, server.zone, server.kind, server.cell, ServerState.GONE, server.nominal
+    )
+    return Listed(gone, line.address, line.protocol)
+
+
 @dataclass(slots=True)
 class Told:
     """What a source answered."""
--- a/topazbank/membership/merge.py
+++ b/topazbank/membership/merge.py
@@ -10,8 +10,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from topazbank.core.members import Listed, Told
-from topazbank.interface import ListedServer, ServerState
+from topazbank.core.members import Listed, Told, as_gone
+from topazbank.interface import ServerState
 
 GONE_MOST = 10_000  # names told gone that a source remembers; the oldest are forgotten first
 
@@ -92,7 +92,7 @@
                 lines.append(stands[0])
             elif before is not None:
                 del self._told[name]
-                lines.append(_as_gone(before[0]))
+                lines.append(as_gone(before[0]))
         return self._next(False, lines) if lines else None
 
     def _next(self, complete: bool, lines: list[Listed]) -> Told:
@@ -111,11 +111,3 @@
     def source_of(self, name: str) -> str | None:
         told = self._told.get(name)
         return told[1] if told is not None else None
-
-
-def _as_gone(line: Listed) -> Listed:
-    server = line.server
-    gone = ListedServer(
-        server.server, server.zone, server.kind, server.cell, ServerState.GONE, server.nominal
-    )
-    return Listed(gone, line.address, line.protocol)
--- a/topazbank/membership/roster.py
+++ b/topazbank/membership/roster.py
@@ -15,7 +15,7 @@
 from enum import Enum, unique
 from typing import Any
 
-from topazbank.core.members import Listed
+from topazbank.core.members import Listed, as_gone
 from topazbank.core.net import Address, parse_address
 from topazbank.interface import ListedServer, ServerState
 
@@ -306,9 +306,7 @@
         self._held_out.pop(name, None)
         told = self._told.pop(name, None)
         if told is not None:
-            server = told.server
-            gone = ListedServer(name, server.zone, server.kind, server.cell, ServerState.GONE, server.nominal)
-            step.lines.append(Listed(gone, told.address, told.protocol))
+            step.lines.append(as_gone(told))
         if registration is not None:
             self._disclaim(name, registration.address, step)
 
