Fields that nobody read go, and the fleet's proxy lets through what came before an end

Read once more: the planner kept two figures that nothing used, two constants were left over, and the proxy dropped what it still delayed when a side ended.

--- a/standins/fleet/proxy.py
+++ b/standins/fleet/proxy.py
@@ -44,6 +44,7 @@
     def stop(self) -> None:
         super().stop()
         self._break()
+        self.heal()  # nobody is left who waits for what is held
 
     def _break(self) -> None:
         for writer in list(self._writers):
@@ -86,5 +87,7 @@
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while data := await reader.read(_CHUNK):
                 await queue.put((loop.time() + self.delay_s, data))
-        writing.cancel()
+        # What came before the end is still let through, and the end behind it.
+        await queue.put((loop.time() + self.delay_s, b""))
+        await writing
         writer.close()
--- a/standins/fleet/simulated.py
+++ b/standins/fleet/simulated.py
@@ -41,7 +41,6 @@
 START = 100 * S
 NET = 300  # one way, between forwarder and node
 LINK = MS  # one way, between forwarder and planner
-UNANSWERED = S  # a planner that does not answer for so long is asked again
 FALL_MULTIPLE, FALL_S = 3.0, 2.0  # offered to a cold node over what it can do, and it falls
 COLD_FROM, COLD = 0.14, 22 * S
 
--- a/topazbank/planning/planner.py
+++ b/topazbank/planning/planner.py
@@ -71,7 +71,6 @@
     factor: float = 1.0
     answered: float = 0.0  # fading counts over SPAN
     time_us: float = 0.0
-    failed: float = 0.0
     explained: float = 0.0  # waits that its weight and what it held explain, for what was answered
     faded_at: int = 0
     held: float = 0.0
@@ -85,7 +84,6 @@
             keep = math.exp((self.faded_at - now) / SPAN)
             self.answered *= keep
             self.time_us *= keep
-            self.failed *= keep
             self.explained *= keep
             self.faded_at = now
 
@@ -106,7 +104,6 @@
     number: int = -1
     heard_at: int = 0
     rate: float = 0.0  # requests a second
-    in_flight: int = 0
     sequence: int = 0  # of the plan that was sent last
     sent: dict[str, Share] = field(default_factory=dict)  # that plan
     using: frozenset[str] = frozenset()
@@ -195,7 +192,6 @@
         part = min(summary.period / SPAN, 1.0)
         forwarder.rate += part * (arrived / (summary.period / S) - forwarder.rate)
         forwarder.life, forwarder.number, forwarder.heard_at = summary.life, summary.number, now
-        forwarder.in_flight = sum(use.in_flight for use in summary.nodes.values())
         self._heard_at = now
         self.times.merge(summary.times)
         for name in forwarder.using - summary.nodes.keys():
@@ -211,7 +207,6 @@
     def _note_use(now: int, node: _Node, forwarder: str, use: NodeUse) -> None:
         node.fade(now)
         node.answered += use.answered
-        node.failed += use.failed
         node.time_us += use.time_us
         node.explained += use.answered * node.wait(max(node.held - 1.0, 0.0))
         if use.held is not None and use.held_at > node.held_at:
--- a/topazbank/planning/server.py
+++ b/topazbank/planning/server.py
@@ -32,9 +32,6 @@
 CONNECTIONS_MOST = 6_000  # of forwarders; further ones are closed at once
 IDLE_S = 60.0  # a connection that says nothing for so long is closed
 LOOK_S = 0.1  # how often it is looked at who leads
-STALLED_S = (
-    1.0  # a loop that stood still for so long has missed what forwarders did: old summaries are dropped
-)
 COLD_US = 22_000_000  # a node is warm so long after its start
 
 MakeSource = Callable[[Callable[[Told | None], None]], Source]
