Cold budgets of about what warmth bears, and probed loads counted by a server's size

What a server held went into that fit and out of it as a bare number, though sizes go from 2.5 to 7: 12 requests crowd a small server and not a large one. Ruled out: ejections (brief and few), late lists (servers stood on the list), connections (none failed).

Changed: COLD_SHARE 0.15 to 0.3, holds counted by registered size, the bearable part of the aim from 0.2-0.7 to 0.2-0.5 now that it is expected more sharply.

--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -526,6 +526,26 @@
     assert len(stage.sends(eased)) == 1
 
 
+def test_a_large_server_that_holds_more_is_not_taken_for_crowded() -> None:
+    # Guards against fleets of widely different machines: what fills a small one is nothing to a large one.
+    sizes = dict(zip(names(4), (8.0, 1.0, 1.0, 1.0), strict=True))
+    stage = Stage(settings(**PROBED))
+    stage.servers([ListedServer(name, "east", nominal=size) for name, size in sizes.items()])
+    for load in [0.0, 10.0] * 20:
+        request = stage.request()
+        answer_probes(stage, {name: load * size for name, size in sizes.items()})
+        if stage.sends(request):
+            stage.wait(int((40 + 100 * load) * MS))
+            stage.end(request)
+    crowded = {name: 14.0 if name == names(1)[0] else 15.0 for name in names(4)}
+    request = stage.request("amend")
+    answer_probes(stage, crowded)
+    assert stage.target(request) == names(1)[0]
+    refused = stage.request("amend")
+    answer_probes(stage, dict.fromkeys(names(4), 80.0))
+    assert stage.sends(refused) == []
+
+
 def zoned() -> list[ListedServer]:
     return [ListedServer(name, zone="east" if index < 3 else "west") for index, name in enumerate(names(6))]
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -473,3 +473,18 @@
     for _ in range(40):
         balancer._feel(2.0)  # nearly all late: that is overload, however new the balancer
     assert balancer._window < float("inf")
+
+
+def test_a_fleet_that_is_all_released_anew_is_not_starved_while_it_warms() -> None:
+    # Guards against cold budgets below what cold servers bear: a release of the whole fleet refused a third.
+    stage = Stage(settings())
+    stage.servers(names(8))
+    stage.serve(200, every_us=20 * MS)
+    stage.wait(S)
+    successors = [ListedServer(f"10.0.1.{each}:80", "east", started_at=stage.now) for each in range(8)]
+    stage.servers(successors)
+    for half, least in ((0, 0.3), (1, 0.65)):  # warmth goes from 0.2 to 1
+        before, asked = len(stage.sends()), 250
+        stage.serve(asked, every_us=20 * MS)
+        sent = len(stage.sends()) - before
+        assert sent >= least * asked, f"{sent} of {asked} in half {half}"
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -59,8 +59,9 @@
 PROBE_SPEND = 0.01  # probes for a request may cost this part of its worth: they settle ties between zeros
 PROBE_WAIT = 3.0  # a tie waits this many usual probe times for its probes
 PROBE_AIMS = 0.05  # and never longer than this part of the aim: the usual probe time is not known at first
-BEARABLE_SPENT = 0.7  # a probed server may be expected to take this part of the aim, for the most worthy
-BEARABLE_SPREAD = 0.5  # and this much less of it for the least worthy
+BEARABLE_SPENT = 0.5  # a probed server may be expected to take this part of the aim, for the most worthy
+BEARABLE_SPREAD = 0.3  # and this much less of it for the least worthy
+LEAST_SIZE = 0.1  # of the mean: a nominal size of zero is junk
 FIT_STEP = 0.03  # what a held request costs in time is fitted over the last thirty answers or so
 FIT_CLIP = 3.0  # one answer counts for at most this many times what was expected: a jam is no rule
 FIT_FLOOR = 0.2  # but for this part of the aim at any rate
@@ -70,7 +71,7 @@
 TRICKLE = 0.01  # part let in where probes tell of overload: what they foretell must stay checked
 PROBE_STEP = 0.1  # the usual probe time follows the last ten or so
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
-COLD_SHARE = 0.15  # part of the pushing-over load at which a cold budget fills: its true size is not told
+COLD_SHARE = 0.3  # part of the pushing-over load at which a cold budget fills: about what its warmth can bear
 COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
@@ -252,8 +253,8 @@
         self._queues: dict[int, Queue] = {}  # by key
         self._moved: deque[Queue] = deque()  # queues whose head may have changed
         self._asking: dict[int, Request] = {}  # requests that wait for probes, by number
-        self._by_held = Fit()  # time, in usual times, by what the server held
-        self._probe_time: float | None = None  # the usual time of a probe
+        self._by_held = Fit()  # part of its aim that an answer takes, by what the server held for its size
+        self._probe_time = math.inf  # the usual time of a probe; at first it is not known
         self._probes = self._probes_a_request()
         self._crossing = CROSS_GAIN * settings.prices.cross_zone
         self._connecting = CROSS_GAIN * settings.prices.handshake
@@ -482,9 +483,8 @@
         server, tied = self._choose(request)
         if tied:
             self._ask_tied(request, tied)
-        elif server is None or not self._send(request, server):
-            if not request.is_out():
-                self._finish(request)
+        elif (server is None or not self._send(request, server)) and not request.is_out():
+            self._finish(request)
 
     def _request_gone(self, event: RequestGone) -> None:
         request = self._requests.get(event.request)
@@ -809,9 +809,7 @@
         With many balancers of few requests nearly all counters are zero, and the tie-break is the whole
         choice.  A server that does not answer in the time that others do is passed over.
         """
-        wait = PROBE_AIMS * request.kind.aim_us
-        if self._probe_time is not None:
-            wait = min(wait, PROBE_WAIT * self._probe_time)
+        wait = min(PROBE_AIMS * request.kind.aim_us, PROBE_WAIT * self._probe_time)
         request.asked = tied
         request.asked_until = self._now + int(wait)
         self._asking[request.ident] = request
@@ -827,7 +825,7 @@
             return
         server.probed_at = server.reported = None
         if event.outcome is Outcome.DELIVERED:
-            usual = self._probe_time if self._probe_time is not None else float(event.elapsed_us)
+            usual = self._probe_time if self._probe_time < math.inf else float(event.elapsed_us)
             self._probe_time = usual + PROBE_STEP * (event.elapsed_us - usual)
             server.reported = (event.report or {}).get("inflight")
         for request in list(self._asking.values()):
@@ -840,28 +838,36 @@
         tied, request.asked = request.asked, []
         if request.answered:
             return
-        heard = [each for each in tied if each.probed_at is None and each.reported is not None]
-        best = min((s for s in heard if self._eligible(s, request)), key=self._probed_rank, default=None)
+        able = [each for each in tied if self._eligible(each, request)]
+        heard = [each for each in able if each.probed_at is None and each.reported is not None]
+        best = min(heard, key=self._probed_rank, default=None)
         if not request.spread:
-            here = None if best is None or best.reported is None else self._by_held.at(best.reported)
-            idle = self._by_held.at(0.0)
+            here, idle = None if best is None else self._expected(best), self._by_held.at(0.0)
             if best is None or (here is not None and idle is not None and here - idle > self._crossing):
                 request.spread = True
                 self._place(request)
                 return
-        if best is None:
-            best = next((each for each in tied if self._eligible(each, request)), None)
-        if best is not None and best.reported is not None and not request.attempts:
-            ratio = self._by_held.at(best.reported)
+        best = best or next(iter(able), None)
+        if best is not None and not request.attempts:
+            ratio = self._expected(best)
             bearable = BEARABLE_SPENT - BEARABLE_SPREAD * (1.0 - request.standing)
             if ratio is not None and ratio > bearable and self._random.random() >= TRICKLE:
                 best = None
         if best is None or not self._send(request, best):
             if not request.is_out():
                 self._finish(request)
-            return
-        if best.probed_at is None:
-            request.attempts[-1].held = best.reported
+        elif best.probed_at is None:
+            request.attempts[-1].held = self._held(best)
+
+    def _held(self, server: Server) -> float | None:
+        """What its last probe says it holds, for its size: a large server bears more; None: not known."""
+        size = server.nominal * len(self._ready) / max(self._ready_size, 1e-9)
+        return None if server.reported is None else server.reported / max(size, LEAST_SIZE)
+
+    def _expected(self, server: Server) -> float | None:
+        """The part of its aim that an answer is expected to take there; None: not known."""
+        held = self._held(server)
+        return None if held is None else self._by_held.at(held)
 
     def _probed_rank(self, server: Server) -> tuple[int, float, float]:
         away = self._crossing if server.zone != self._settings.zone else 0.0
@@ -893,10 +899,8 @@
 
     def _server_rate(self) -> float:
         """Requests a microsecond that a server gets, from all balancers."""
-        seen = self._by_held.rate(self._longest_aim)
-        if seen is not None:
-            return seen
-        return self._arrivals.per_us(self._now) * self._settings.group_size / max(len(self._ready), 1)
+        from_all = self._arrivals.per_us(self._now) * self._settings.group_size
+        return self._by_held.rate(self._longest_aim) or from_all / max(len(self._ready), 1)
 
     # -- The send gate --------------------------------------------------------------------------------
 
@@ -955,11 +959,11 @@
         """The one way out for an answer that is not a server's: a refusal where legal, else a failure."""
         if request.answered:
             return
-        harmless = request.kind.repeat is Repeat.SAFE or not any(a.may_have_run for a in request.attempts)
-        if request.kind.repeat is Repeat.KEYED and request.kind.group is Group.ALL:
-            harmless = True
+        kind = request.kind
+        harmless = kind.repeat is Repeat.SAFE or (kind.repeat is Repeat.KEYED and kind.group is Group.ALL)
+        harmless = harmless or not any(each.may_have_run for each in request.attempts)
         limits = self._settings.limits  # spread out, or those refused at once would be back at once
-        back = min(BACK_AIMS * request.kind.aim_us * (0.5 + self._random.random()), limits.max_retry_after_us)
+        back = min(BACK_AIMS * kind.aim_us * (0.5 + self._random.random()), limits.max_retry_after_us)
         refusal = Refuse(request.ident, int(back) if limits.retry_after else 0)
         self._actions.append(refusal if harmless else Fail(request.ident))
         self._close(request)
@@ -1170,8 +1174,8 @@
         if request.kind.repeat is not Repeat.SAFE or request.attempts:
             return None
         due = (each for each in self.ejected if self._now >= (each.ejected_until or 0) and not each.trial)
-        fit = (each for each in due if each.state is ServerState.READY)
-        return next((each for each in fit if self._cold_room(each, request.cost)), None)
+        fit = (s for s in due if s.state is ServerState.READY and self._cold_room(s, request.cost))
+        return next(fit, None)
 
     # -- Slow start -----------------------------------------------------------------------------------
 
@@ -1200,9 +1204,7 @@
         if not self._is_cold(server):
             return True
         rules = self._settings.rules
-        bearable = self._bearable_by_mean()
-        if self._mean_size > 0.0:
-            bearable *= min(server.nominal / self._mean_size, 1.0)
+        bearable = self._bearable_by_mean() * min(server.nominal / self._mean_size, 1.0)
         limit = rules.fall_multiple * self._warmth(server) * bearable
         most = max(1.0, COLD_BURST * limit * rules.fall_us)
         share = COLD_SHARE if self._guide is None else COLD_SHARE * self._guide.cold(server.name, self._now)
@@ -1219,7 +1221,7 @@
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
             served = self._served_warm if warm else self._arrivals
             self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
-            self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
+            self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1) or 1.0
         return self._bearable
 
     # -- Timers: one agenda, and one timer at a time for its head -------------------------------------
