What clients and sidecars of a fleet are asked and told is noted in one place

Forwarders in other processes need the same clients and ears as the rig in one process. Moved out of it, behaviour as it was: tests of the failure cases and planners pass.

--- /dev/null
+++ b/standins/fleet/calling.py
@@ -0,0 +1,122 @@
+"""What a fleet's sidecars are asked and told, noted as it happens: the judge goes by these notes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from typing import Any
+
+from standins.clients import HttpCaller, Wish
+from standins.fleet.judge import Called, Word
+from standins.wire import Address
+from topazbank.core.driver import Config, Wiring
+from topazbank.core.members import Told
+from topazbank.interface import ServerState
+
+KINDS, MIX = ("check", "amend", "lodge"), (6, 1, 3)
+BUDGETS_S = {"check": 2.0, "amend": 2.0, "lodge": 2.5}
+CLIENT_CONNECTIONS = 64  # of a sidecar's clients that are kept open between calls
+
+
+def now() -> float:
+    return time.monotonic()  # as event loops count, and the same in all processes of the machine
+
+
+class Clients:
+    """The clients of some sidecars; every call and what came of it is noted."""
+
+    def __init__(self, chance: random.Random, prefix: str = "c") -> None:
+        """`prefix`: of the calls' ids, so that several processes' do not meet."""
+        self.calls: list[Called] = []
+        self._random = chance
+        self._prefix = prefix
+        self._callers: dict[int, list[HttpCaller]] = defaultdict(list)  # at rest, CLIENT_CONNECTIONS each
+        self._out: set[asyncio.Task[None]] = set()
+
+    async def load(
+        self,
+        rate: float,
+        over: asyncio.Event,
+        there: Callable[[], Sequence[int]],
+        address: Callable[[int], Address],
+    ) -> None:
+        """Calls at a steady rate whatever comes of them, spread over the sidecars that are there."""
+        began, count = now(), 0
+        while not over.is_set():
+            sidecars = there()
+            if sidecars:
+                number = self._random.choice(sidecars)
+                self._one(number, address(number))
+            count += 1
+            await asyncio.sleep(max(began + count / rate - now(), 0))
+        await asyncio.gather(*self._out)
+
+    def _one(self, number: int, address: Address) -> None:
+        kind = self._random.choices(KINDS, MIX)[0]
+        ident = f"{self._prefix}-{len(self.calls):06}"
+        key = f"key-{ident}" if kind == "amend" else None
+        called = Called(ident, kind, key, now(), BUDGETS_S[kind])
+        self.calls.append(called)
+        body = b"" if kind == "check" else b"declaration"
+        path = f"/api/{self._random.getrandbits(64):016x}"
+        wish = Wish(kind, ident, path, body, called.budget_s, None, key)
+        task = asyncio.get_running_loop().create_task(self._call(number, address, called, wish))
+        self._out.add(task)
+        task.add_done_callback(self._out.discard)
+
+    async def _call(self, number: int, address: Address, called: Called, wish: Wish) -> None:
+        callers = self._callers[number]
+        caller = callers.pop() if callers else HttpCaller(address)
+        got = await caller.call(wish)
+        called.verdict, called.body, called.answered_at = got.verdict, got.body, now()
+        callers = self._callers[number]
+        if len(callers) < CLIENT_CONNECTIONS:
+            callers.append(caller)
+        else:
+            caller.close()
+
+    def leave(self, number: int) -> None:
+        """Close the connections to a sidecar that are at rest."""
+        for caller in self._callers.pop(number, []):
+            caller.close()
+
+    def stop(self) -> None:
+        for task in self._out:
+            task.cancel()
+        for number in list(self._callers):
+            self.leave(number)
+
+
+class Ears:
+    """What each sidecar was told of nodes, and when."""
+
+    def __init__(self, everyone: Callable[[], set[str]]) -> None:
+        """`everyone`: the names of all nodes that there are, also those that a list leaves out."""
+        self.words: list[Word] = []
+        self._everyone = everyone
+
+    def overhear(self, wiring: Wiring, number: int) -> Wiring:
+        """The same wiring, with its source's words noted as the sidecar's of this number."""
+
+        def source(config: Config, told: Callable[[Told | None], None]) -> Any:
+            def hear(what: Told | None) -> None:
+                if what is not None:
+                    self.hear(number, what)
+                told(what)
+
+            return made(config, hear)
+
+        made = wiring.source
+        return replace(wiring, source=source)
+
+    def hear(self, number: int, told: Told) -> None:
+        at, said = now(), set()
+        for line in told.lines:
+            said.add(line.server.server)
+            self.words.append(Word(at, number, line.server.server, line.server.state is ServerState.READY))
+        if told.complete:
+            self.words += [Word(at, number, name, False) for name in self._everyone() - said]
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -12,13 +12,13 @@
 from pathlib import Path
 from typing import Any
 
-from standins.clients import HttpCaller, Wish
-from standins.fleet.judge import Called, Reached, Verdicts, Word, judge
+from standins.fleet.calling import Clients, Ears, now
+from standins.fleet.judge import Reached, Verdicts, judge
 from standins.fleet.proxy import Proxy
 from standins.lodge import SPEEDS, Lodge, LodgeServer, Memory, RunLog
 from standins.wire import HTTP, MSGPACK_RPC, Address, Asked
 from standins.zookeeper import Ensemble
-from topazbank.core.driver import Config, Sidecar, Wiring
+from topazbank.core.driver import Config, Sidecar
 from topazbank.core.members import Listed, Standing, Told
 from topazbank.interface import ListedServer, ServerState
 from topazbank.membership.registrar import Registrar
@@ -36,10 +36,7 @@
 EXAMPLE = Path(__file__).parent.parent.parent / "deploy" / "example.json"
 PATH = "/lodge/nodes"
 WORK_S = {"check": 0.008, "amend": 0.012, "lodge": 0.020}  # on a standard machine
-KINDS, MIX = ("check", "amend", "lodge"), (6, 1, 3)
-BUDGETS_S = {"check": 2.0, "amend": 2.0, "lodge": 2.5}
 SPEED_NAMES = tuple(SPEEDS)
-CLIENT_CONNECTIONS = 64  # of a sidecar's clients that are kept open between calls
 
 
 def work(asked: Asked) -> float:
@@ -96,8 +93,8 @@
         self.registrars: dict[str, Registrar] = {}
         self.log = RunLog()
         self.fixed = fixed
-        self.calls: list[Called] = []
-        self.words: list[Word] = []
+        self.clients = Clients(self.random)
+        self.ears = Ears(lambda: set(self.nodes))
         self._fallen: list[str] = []
         self._reached: list[Reached] = []
         self.planners: list[PlannerServer | None] = [None] * planners
@@ -110,14 +107,8 @@
         self.processes: list[Process | None] = [None] * sidecars
         self._past: dict[int, list[tuple[float, float]]] = defaultdict(list)
         self._addresses: list[Address] = [("127.0.0.1", 0)] * sidecars
-        self._callers: dict[int, list[HttpCaller]] = defaultdict(list)  # at rest, CLIENT_CONNECTIONS each
-        self._out: set[asyncio.Task[None]] = set()
         self._settings = settings_from_wire(json.loads(EXAMPLE.read_text(encoding="utf-8"))["settings"])
 
-    @staticmethod
-    def now() -> float:
-        return time.monotonic()  # as the event loop counts
-
     # -- Life ------------------------------------------------------------------------------------------
 
     async def start(self) -> None:
@@ -133,11 +124,7 @@
         await until(lambda: all(self.ready(number) == everyone for number in range(self._sidecars)))
 
     async def stop(self) -> None:
-        for each in self._out:
-            each.cancel()
-        for callers in self._callers.values():
-            for caller in callers:
-                caller.close()
+        self.clients.stop()
         for process in self.processes:
             if process is not None:
                 process.task.cancel()
@@ -162,7 +149,7 @@
         pod = number % 2
         speed = SPEED_NAMES[number // 2 % len(SPEED_NAMES)]
         lodge = Noting(
-            name, self.log, self.now, SPEEDS[speed], cold_s=cold_s, work=work, memory=self._memories[pod]
+            name, self.log, now, SPEEDS[speed], cold_s=cold_s, work=work, memory=self._memories[pod]
         )
         lodge.note = self._note
         server = LodgeServer(lodge, (HTTP, MSGPACK_RPC)[pod], pod + 1, speed)
@@ -172,7 +159,7 @@
         self.register(name)
 
     def _note(self, node: str, ident: str) -> None:
-        self._reached.append(Reached(self.now(), node, ident))
+        self._reached.append(Reached(now(), node, ident))
 
     def register(self, name: str) -> None:
         server = self.nodes[name]
@@ -245,7 +232,7 @@
         wiring = wire(operator)
         if self.fixed:
             wiring = replace(wiring, source=lambda config, told: Silent())
-        wiring = self._overheard(wiring, number)
+        wiring = self.ears.overhear(wiring, number)
         config = Config(
             self._addresses[number],
             ("127.0.0.1", 9),
@@ -254,32 +241,12 @@
             self._settings,
             Told(0, True, known),
         )
-        self._hear(number, config.known)
+        self.ears.hear(number, config.known)
         sidecar, stop = Sidecar(config, wiring), asyncio.Event()
         task = asyncio.get_running_loop().create_task(sidecar.run(stop))
         await until(lambda: sidecar.frontend.address[1] != 0)
         self._addresses[number] = sidecar.frontend.address
-        self.processes[number] = Process(sidecar, stop, task, self.now())
-
-    def _overheard(self, wiring: Wiring, number: int) -> Wiring:
-        def source(config: Config, told: Callable[[Told | None], None]) -> Any:
-            def hear(what: Told | None) -> None:
-                if what is not None:
-                    self._hear(number, what)
-                told(what)
-
-            return made(config, hear)
-
-        made = wiring.source
-        return replace(wiring, source=source)
-
-    def _hear(self, number: int, told: Told) -> None:
-        now, said = self.now(), set()
-        for line in told.lines:
-            said.add(line.server.server)
-            self.words.append(Word(now, number, line.server.server, line.server.state is ServerState.READY))
-        if told.complete:
-            self.words += [Word(now, number, name, False) for name in self.nodes.keys() - said]
+        self.processes[number] = Process(sidecar, stop, task, now())
 
     async def restart_sidecar(self, number: int) -> None:
         """Stop a sidecar as the platform does, and start it again with the list it had."""
@@ -305,9 +272,8 @@
         ]
         process.stop.set()
         await process.task
-        self._past[number].append((process.began, self.now()))
-        for caller in self._callers.pop(number, []):
-            caller.close()
+        self._past[number].append((process.began, now()))
+        self.clients.leave(number)
         await self.start_sidecar(number, known)
 
     def ready(self, number: int) -> set[str]:
@@ -386,45 +352,10 @@
 
     async def load(self, rate: float, over: asyncio.Event) -> None:
         """Calls at a steady rate whatever comes of them, spread over the sidecars that are there."""
-        began, count = self.now(), 0
-        while not over.is_set():
-            there = [number for number, each in enumerate(self.processes) if each is not None]
-            if there:
-                self._one(self.random.choice(there))
-            count += 1
-            await asyncio.sleep(max(began + count / rate - self.now(), 0))
-        await asyncio.gather(*self._out)
-
-    def _one(self, number: int) -> None:
-        kind = self.random.choices(KINDS, MIX)[0]
-        ident = f"c-{len(self.calls):06}"
-        key = f"key-{ident}" if kind == "amend" else None
-        called = Called(ident, kind, key, self.now(), BUDGETS_S[kind])
-        self.calls.append(called)
-        body = b"" if kind == "check" else b"declaration"
-        wish = Wish(
-            kind,
-            ident,
-            f"/api/{self.random.getrandbits(64):016x}",
-            body,
-            called.budget_s,
-            None,
-            key,
-        )
-        task = asyncio.get_running_loop().create_task(self._call(number, called, wish))
-        self._out.add(task)
-        task.add_done_callback(self._out.discard)
-
-    async def _call(self, number: int, called: Called, wish: Wish) -> None:
-        callers = self._callers[number]
-        caller = callers.pop() if callers else HttpCaller(self._addresses[number])
-        got = await caller.call(wish)
-        called.verdict, called.body, called.answered_at = got.verdict, got.body, self.now()
-        callers = self._callers[number]
-        if len(callers) < CLIENT_CONNECTIONS:
-            callers.append(caller)
-        else:
-            caller.close()
+        await self.clients.load(rate, over, self._there, self._addresses.__getitem__)
+
+    def _there(self) -> list[int]:
+        return [number for number, each in enumerate(self.processes) if each is not None]
 
     # -- Judgement -------------------------------------------------------------------------------------
 
@@ -432,10 +363,10 @@
         lives = {number: list(spans) for number, spans in self._past.items()}
         for number, process in enumerate(self.processes):
             if process is not None:
-                lives.setdefault(number, []).append((process.began, self.now()))
+                lives.setdefault(number, []).append((process.began, now()))
         for name in self.nodes:
             self._keep_fallen(name)
-        return judge(self.calls, self._reached, self.log.runs, self.words, lives, self._fallen)
+        return judge(self.clients.calls, self._reached, self.log.runs, self.ears.words, lives, self._fallen)
 
 
 class Noting(Lodge):
