A fleet of processes: planners killed and stopped under forwarders in workers

Planners run as they are deployed, forwarders as instances in worker processes, nodes and the registry in the runner; judged by the nodes' logs.

--- /dev/null
+++ b/standins/fleet/wide.py
@@ -0,0 +1,405 @@
+"""A fleet of processes: planners as they are run, hundreds of forwarders in a few workers, nodes and the registry here.
+
+    python -m standins.fleet.wide [SCENE ...] [--forwarders 200] [--workers 4] [--load 0.6] [--record run.jsonl]
+
+Planners are killed (SIGKILL) and stopped in the middle of whatever they do (SIGSTOP, SIGCONT).  Each scene is played with
+planners and, with the same seeds and rate, without: the last column is the four rules by the nodes' own logs, and the
+line under it how far forwarders followed a plan in the course of it.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+from standins.fleet.__main__ import HEAD, row
+from standins.fleet.calling import KINDS, MIX, now
+from standins.fleet.judge import Called, Reached, Verdicts, Word, judge
+from standins.fleet.rig import EXAMPLE, SPEED_NAMES, Noting
+from standins.fleet.worker import LINE_MOST, Spec
+from standins.lodge import SPEEDS, LodgeServer, Memory, RunLog
+from standins.registry import Registry
+from standins.wire import Address, Asked, place
+from topazbank.plan import ask_planner
+
+ROOT = Path(__file__).parent.parent.parent
+SLOTS, QUEUE = 2, 30  # of a node
+COLD_S = 22.0
+SHARE = {"check": 0.6, "amend": 1.0, "lodge": 1.6}  # of the mean work, by class
+MEAN = sum(SHARE[kind] * part for kind, part in zip(KINDS, MIX, strict=True)) / sum(MIX)
+START_S = 60.0  # for all processes to come up, on a machine that is busy
+LOOK_S = 0.25  # how often it is looked at who follows a plan
+
+
+class Planners:
+    """Planner processes, by number; ranks tell who leads, lower first."""
+
+    def __init__(self, count: int, registry: Address, folder: Path) -> None:
+        self.addresses = [("127.0.0.1", _free_port()) for _ in range(count)]
+        self._registry = registry
+        self._folder = folder
+        self._processes: list[subprocess.Popen[str] | None] = [None] * count
+
+    def start(self, number: int) -> None:
+        path = self._folder / f"planner-{number}.toml"
+        path.write_text(
+            f'[planning]\nlisten = "{place(self.addresses[number])}"\nelect = "static"\nrank = {number}\n',
+            encoding="utf-8",
+        )
+        command = [sys.executable, "-m", "topazbank.planning.server", "--operator", str(path)]
+        command += ["--registry", place(self._registry), "--name", f"p-{number}"]
+        quiet = {"stdout": subprocess.DEVNULL, "stderr": subprocess.DEVNULL}
+        self._processes[number] = subprocess.Popen(command, cwd=ROOT, text=True, **quiet)  # type: ignore[call-overload]
+
+    def send(self, number: int, what: signal.Signals) -> None:
+        process = self._processes[number]
+        if process is not None:
+            process.send_signal(what)
+
+    def kill(self, number: int) -> None:
+        process, self._processes[number] = self._processes[number], None
+        if process is not None:
+            process.kill()  # one that is stopped as well
+            process.wait()
+
+    def stop(self) -> None:
+        for number in range(len(self._processes)):
+            self.kill(number)
+
+    async def leader(self) -> int | None:
+        """Who leads by the highest epoch; those that do not answer do not."""
+        found: dict[int, int] = {}
+        for number, process in enumerate(self._processes):
+            if process is None:
+                continue
+            with contextlib.suppress(OSError, ValueError):
+                told = await asyncio.to_thread(ask_planner, self.addresses[number])
+                if told["epoch"] is not None:
+                    found[number] = told["epoch"]
+        return max(found, key=found.__getitem__) if found else None
+
+
+class WorkerProcess:
+    """One process of forwarders; it is told a word and answers with a line."""
+
+    def __init__(self, spec: Spec) -> None:
+        self.spec = spec
+        self._process: asyncio.subprocess.Process | None = None
+        self._turn = asyncio.Lock()
+
+    async def start(self) -> None:
+        command = (sys.executable, "-m", "standins.fleet.worker", json.dumps(asdict(self.spec)))
+        pipe = asyncio.subprocess.PIPE
+        self._process = await asyncio.create_subprocess_exec(
+            *command, cwd=ROOT, stdin=pipe, stdout=pipe, stderr=asyncio.subprocess.DEVNULL, limit=LINE_MOST
+        )
+        async with asyncio.timeout(START_S):
+            await self._line()
+
+    async def _line(self) -> Any:
+        assert self._process is not None and self._process.stdout is not None
+        line = await self._process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"the worker of forwarder {self.spec.first} on has ended")
+        return json.loads(line)
+
+    async def say(self, word: str) -> Any:
+        async with self._turn:
+            assert self._process is not None and self._process.stdin is not None
+            self._process.stdin.write(f"{word}\n".encode())
+            return await self._line()
+
+    async def stop(self) -> None:
+        if self._process is not None and self._process.returncode is None:
+            self._process.kill()
+            await self._process.wait()
+
+
+class Wide:
+    """The whole fleet."""
+
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        forwarders: int = 200,
+        workers: int = 4,
+        planners: int = 2,
+        nodes: int = 15,
+        rate: float = 1.0,
+        load: float = 0.6,
+        seed: int = 1,
+    ) -> None:
+        """`rate`: calls a second to each forwarder; `load`: the part of what all nodes can do that they ask."""
+        self.registry = Registry()
+        self.log = RunLog()
+        self.nodes: dict[str, LodgeServer] = {}
+        self.trusts: list[tuple[float, float]] = []  # seconds since the calls began, mean over all forwarders
+        self.records: list[dict[str, Any]] = []  # what the leader told, as `topazbank.plan record` keeps it
+        self._folder, self._count, self._planner_count = folder, nodes, planners
+        self._forwarders, self._worker_count = forwarders, workers
+        self._rate, self._seed = rate, seed
+        able = sum(SPEEDS[SPEED_NAMES[n % len(SPEED_NAMES)]] for n in range(nodes)) * SLOTS
+        self._mean_s = load * able / (forwarders * rate) / MEAN
+        self._memories = [Memory() for _ in range(3)]
+        self._reached: list[Reached] = []
+        self._fallen: list[str] = []
+        self._calls: list[Called] = []
+        self._words: list[Word] = []
+        self._lives: dict[int, list[tuple[float, float]]] = {}
+        self._workers: list[WorkerProcess] = []
+        self._began = 0.0
+
+    # -- Life ------------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        await self.registry.start()
+        for number in range(self._count):
+            await self.launch(f"n-{number:02}")
+        self.planners = Planners(self._planner_count, self.registry.address, self._folder)
+        for number in range(self._planner_count):
+            self.planners.start(number)
+        settings = json.loads(EXAMPLE.read_text(encoding="utf-8"))["settings"]
+        edges = [self._forwarders * each // self._worker_count for each in range(self._worker_count + 1)]
+        for first, after in itertools.pairwise(edges):
+            spec = Spec(
+                first,
+                after - first,
+                self._rate,
+                self._seed * 1000 + first,
+                self.registry.address,
+                self.planners.addresses,
+                self.registry.whole(),
+                settings,
+            )
+            self._workers.append(WorkerProcess(spec))
+        await asyncio.gather(*(each.start() for each in self._workers))
+
+    async def stop(self) -> None:
+        await asyncio.gather(*(each.stop() for each in self._workers))
+        self.planners.stop()
+        self.registry.stop()
+        for node in self.nodes.values():
+            node.die()
+
+    async def play(self, scene: Scene, pace: float) -> None:
+        """One scene under load, from a calm pace to one after it."""
+        for each in self._workers:
+            await each.say("load")
+        self._began = now()
+        looking = asyncio.get_running_loop().create_task(self._look())
+        await asyncio.sleep(pace)
+        await scene(self, pace)
+        await asyncio.sleep(pace)
+        looking.cancel()
+        for told, worker in zip(
+            await asyncio.gather(*(each.say("finish") for each in self._workers)), self._workers, strict=True
+        ):
+            self._calls += [
+                Called(**each | {"body": each["body"].encode("latin-1")}) for each in told["calls"]
+            ]
+            self._words += [Word(**each) for each in told["words"]]
+            for number in range(worker.spec.first, worker.spec.first + worker.spec.count):
+                self._lives[number] = [(told["began"], told["ended"])]
+
+    async def _look(self) -> None:
+        while True:
+            self.trusts.append((now() - self._began, await self.trust()))
+            if self._planner_count and (leader := await self.planners.leader()) is not None:
+                with contextlib.suppress(OSError, ValueError):
+                    told = await asyncio.to_thread(ask_planner, self.planners.addresses[leader])
+                    self.records.append({"at_s": round(now() - self._began, 3), **told})
+            await asyncio.sleep(LOOK_S)
+
+    async def trust(self) -> float:
+        """How far forwarders follow a plan, on the mean; 0 without planners."""
+        told = await asyncio.gather(*(each.say("trusts") for each in self._workers))
+        found: list[float] = [trust for each in told for trust in each]
+        return sum(found) / len(found) if found else 0.0
+
+    async def until_trust(self, least: float, most: float = 1.0, seconds: float = 40.0) -> None:
+        """Wait until the mean trust is within bounds; at once where there are no planners."""
+        async with asyncio.timeout(seconds):
+            while self._planner_count and not least <= await self.trust() <= most:
+                await asyncio.sleep(LOOK_S)
+
+    # -- Nodes -----------------------------------------------------------------------------------------
+
+    async def launch(self, name: str, cold: bool = False) -> None:
+        number = int(name.rpartition("-")[2])
+        speed = SPEED_NAMES[number % len(SPEED_NAMES)]
+        lodge = Noting(
+            name,
+            self.log,
+            now,
+            SPEEDS[speed],
+            SLOTS,
+            QUEUE,
+            COLD_S if cold else 0.0,
+            self._work,
+            self._memories[number % 3],
+        )
+        lodge.note = lambda node, ident: self._reached.append(Reached(now(), node, ident))
+        server = LodgeServer(lodge, pod=number % 3 + 1, kind=speed)
+        server.started_ms = int(time.time() * 1000) if cold else 0
+        await server.start()
+        self.nodes[name] = server
+        self.registry.put(server.entry())
+
+    def _work(self, asked: Asked) -> float:
+        return self._mean_s * SHARE[asked.kind]
+
+    def die(self, name: str) -> None:
+        """Its process is killed, and the registry notices at once."""
+        self._keep_fallen()
+        self.nodes[name].die()
+        self.registry.remove(name)
+
+    async def leave(self, name: str, after_s: float = 0.7) -> None:
+        """It says that it leaves, finishes what it holds and stops."""
+        self.registry.put(self.nodes[name].entry(status="leaving"))
+        await asyncio.sleep(after_s)
+        self.nodes[name].drain()
+        while self.nodes[name].lodge.held:
+            await asyncio.sleep(0.02)
+        self.die(name)
+
+    def _keep_fallen(self) -> None:
+        self._fallen += [name for name, each in self.nodes.items() if each.lodge.fallen]
+
+    # -- Judgement -------------------------------------------------------------------------------------
+
+    def verdicts(self) -> Verdicts:
+        self._keep_fallen()
+        fallen = sorted(set(self._fallen))
+        return judge(self._calls, self._reached, self.log.runs, self._words, self._lives, fallen)
+
+
+def _free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+# -- Scenes ------------------------------------------------------------------------------------------
+
+Scene = Callable[[Wide, float], Awaitable[None]]
+
+
+async def calm(fleet: Wide, pace: float) -> None:
+    """Nothing goes wrong."""
+    await fleet.until_trust(0.3)
+    await asyncio.sleep(8 * pace)
+
+
+async def leader_stopped(fleet: Wide, pace: float) -> None:
+    """The leader stands still in the middle of what it does; a node leaves meanwhile; it goes on with old news."""
+    await fleet.until_trust(0.3)
+    leader = await fleet.planners.leader() or 0
+    if fleet.planners.addresses:
+        fleet.planners.send(leader, signal.SIGSTOP)
+    await fleet.leave("n-04")
+    await asyncio.sleep(4 * pace)
+    await fleet.until_trust(0.3)  # the other leads
+    if fleet.planners.addresses:
+        fleet.planners.send(leader, signal.SIGCONT)
+    await asyncio.sleep(2 * pace)
+    await fleet.until_trust(0.3)
+
+
+async def all_stopped(fleet: Wide, pace: float) -> None:
+    """All planners stand still at once while a node dies and comes back cold."""
+    await fleet.until_trust(0.3)
+    for number in range(len(fleet.planners.addresses)):
+        fleet.planners.send(number, signal.SIGSTOP)
+    fleet.die("n-05")
+    await fleet.until_trust(0.0, 0.0)
+    await asyncio.sleep(3 * pace)
+    await fleet.launch("n-05", cold=True)
+    await asyncio.sleep(pace)
+    for number in range(len(fleet.planners.addresses)):
+        fleet.planners.send(number, signal.SIGCONT)
+    await asyncio.sleep(2 * pace)
+    await fleet.until_trust(0.3)
+
+
+async def all_killed(fleet: Wide, pace: float) -> None:
+    """The leader is killed, then the rest; a long time without any; all come back having forgotten."""
+    await fleet.until_trust(0.3)
+    leader = await fleet.planners.leader() or 0
+    count = len(fleet.planners.addresses)
+    if count:
+        fleet.planners.kill(leader)
+    await asyncio.sleep(4 * pace)
+    await fleet.until_trust(0.3)
+    for number in range(count):
+        fleet.planners.kill(number)
+    await fleet.until_trust(0.0, 0.0)
+    await asyncio.sleep(6 * pace)
+    for number in range(count):
+        fleet.planners.start(number)
+    await fleet.until_trust(0.3)
+
+
+SCENES: dict[str, Scene] = {each.__name__: each for each in (calm, leader_stopped, all_stopped, all_killed)}
+
+
+async def run(scene: str, pace: float, **given: Any) -> Wide:
+    """Play a scene; all processes have ended when it returns, and the fleet's logs are there."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Wide(Path(folder), **given)
+        await fleet.start()
+        try:
+            await fleet.play(SCENES[scene], pace)
+        finally:
+            await fleet.stop()
+    return fleet
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="standins.fleet.wide", description=__doc__)
+    parser.add_argument("scenes", nargs="*", choices=[*SCENES, []], default=[])
+    parser.add_argument("--forwarders", type=int, default=200)
+    parser.add_argument("--workers", type=int, default=max((os.cpu_count() or 2) - 4, 2))
+    parser.add_argument("--load", type=float, default=0.6, help="part of what the nodes can do")
+    parser.add_argument("--rate", type=float, default=1.0, help="calls a second to each forwarder")
+    parser.add_argument("--pace", type=float, default=1.0, help="seconds that a step lasts")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--record", type=Path, metavar="FILE", help="keep the leader's record for plan plot")
+    given = parser.parse_args()
+    shape = {"forwarders": given.forwarders, "workers": given.workers, "load": given.load}
+    shape |= {"rate": given.rate, "seed": given.seed}
+    print(f"{given.forwarders} forwarders in {given.workers} processes, load {given.load:g}\n{HEAD}")
+    broken = 0
+    for name in given.scenes or SCENES:
+        for planners in (2, 0):
+            fleet = asyncio.run(run(name, given.pace, planners=planners, **shape))
+            verdicts = fleet.verdicts()
+            broken += len(verdicts.broken)
+            title = f"{name}, {'planners' if planners else 'alone'}"
+            course = " ".join(f"{trust:.1f}" for _, trust in fleet.trusts[:: max(len(fleet.trusts) // 20, 1)])
+            print(
+                row(title, given.seed, verdicts) + (f"\n{'':<37}trust {course}" if planners else ""),
+                flush=True,
+            )
+            if planners and given.record:
+                with given.record.open("w", encoding="utf-8") as file:
+                    file.writelines(json.dumps(each) + "\n" for each in fleet.records)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
