plan record and plan plot: each node's share against what it can do

Operators could see what a planner deals only at one moment. A record is a planner's status each second; the plot and its table lay each node's share of the coming requests beside its share of what all can do. matplotlib is an extra.

--- a/topazbank/plan.py
+++ b/topazbank/plan.py
@@ -1,7 +1,9 @@
-"""Prints what a forwarder follows, or what a planner knows.
+"""Prints what a forwarder follows, or what a planner knows; records a planner's run and draws it.
 
 python -m topazbank.plan show HOST:PORT      a forwarder, whose operator file must have [admin] roster = true
 python -m topazbank.plan status HOST:PORT    a planner
+python -m topazbank.plan record HOST:PORT --out run.jsonl [--seconds 60]
+python -m topazbank.plan plot run.jsonl --out run.png    each node's share against what it can do
 """
 
 from __future__ import annotations
@@ -11,11 +13,15 @@
 import json
 import socket
 import sys
+import time
+from pathlib import Path
 from typing import Any
 
-from topazbank.core.net import parse_address
+from topazbank.core.net import Address, parse_address
+from topazbank.planning import record
 
 _WAIT_S = 5.0
+_EVERY_S = 1.0  # between two records: a planner's own rates fade over as much
 
 
 def shown(plan: dict[str, Any]) -> list[str]:
@@ -72,7 +78,7 @@
     return lines
 
 
-def ask_forwarder(address: tuple[str, int]) -> dict[str, Any]:
+def ask_forwarder(address: Address) -> dict[str, Any]:
     """Raise OSError or ValueError where there is no plan to be had."""
     connection = http.client.HTTPConnection(*address, timeout=_WAIT_S)
     connection.request("GET", "/admin/roster")
@@ -86,7 +92,7 @@
     return dict(plan)
 
 
-def ask_planner(address: tuple[str, int]) -> dict[str, Any]:
+def ask_planner(address: Address) -> dict[str, Any]:
     """Raise OSError or ValueError where there is no status to be had."""
     import msgpack
 
@@ -105,16 +111,62 @@
     raise ValueError("the connection ended")
 
 
+def keep_record(address: Address, out: Path, seconds: float) -> int:
+    """Ask a planner every second and keep what it tells; give the number of records.
+
+    A planner that does not answer is left out for that second: a run's record shows its failures as gaps.
+    """
+    kept, began = 0, time.monotonic()
+    with out.open("w", encoding="utf-8") as file:
+        while (at := time.monotonic() - began) < seconds:
+            try:
+                told = ask_planner(address)
+            except (OSError, ValueError) as fault:
+                print(f"at {at:.0f} s: nothing from {address[0]}:{address[1]}: {fault}", file=sys.stderr)
+            else:
+                file.write(json.dumps({"at_s": round(at, 3), **told}) + "\n")
+                file.flush()
+                kept += 1
+            time.sleep(max(at + _EVERY_S - (time.monotonic() - began), 0.0))
+    return kept
+
+
+def plot(source: Path, out: Path) -> list[str]:
+    """Draw a record, and give its table; raise ValueError or OSError where it holds none."""
+    with source.open(encoding="utf-8") as file:
+        courses = record.moments(record.read(file))
+    from topazbank.planning.plot import draw
+
+    draw(courses, out)
+    return [*record.table(record.fits(courses)), "", f"drawn: {out}"]
+
+
+def _lines(given: argparse.Namespace) -> list[str]:
+    if given.what == "plot":
+        return plot(Path(given.source), given.out or Path(given.source).with_suffix(".png"))
+    address = parse_address(given.source)
+    if given.what == "show":
+        return shown(ask_forwarder(address))
+    if given.what == "status":
+        return status(ask_planner(address))
+    out = given.out or Path("planner.jsonl")
+    return [f"{keep_record(address, out, given.seconds)} records in {out}"]
+
+
 def main(argv: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="topazbank.plan", description=(__doc__ or "").split("\n")[0])
-    parser.add_argument("what", choices=("show", "status"))
-    parser.add_argument("address", metavar="HOST:PORT")
+    parser.add_argument("what", choices=("show", "status", "record", "plot"))
+    parser.add_argument("source", metavar="HOST:PORT|FILE", help="who is asked, or the record to draw")
+    parser.add_argument("--out", type=Path, metavar="FILE", help="of record and plot")
+    parser.add_argument("--seconds", type=float, default=60.0, help="that record goes on")
     given = parser.parse_args(argv)
     try:
-        address = parse_address(given.address)
-        lines = shown(ask_forwarder(address)) if given.what == "show" else status(ask_planner(address))
+        lines = _lines(given)
+    except ImportError:
+        print("plots need the extra 'plots': pip install 'topazbank[plots]'", file=sys.stderr)
+        return 1
     except (OSError, ValueError, http.client.HTTPException) as fault:
-        print(f"nothing from {given.address}: {fault}", file=sys.stderr)
+        print(f"nothing from {given.source}: {fault}", file=sys.stderr)
         return 1
     print("\n".join(lines))
     return 0
--- a/topazbank/planning/planner.py
+++ b/topazbank/planning/planner.py
@@ -351,6 +351,7 @@
                     "odds": round(self._odds.get(name, 0.0), 4),
                     "nominal": node.member.weight,
                     "factor": round(node.factor, 4),
+                    "capacity": round(node.weight(), 4),
                     "held": node.held,
                     "answered_a_second": round(node.answered / (SPAN / S), 3),
                     "ejected_by": len(node.ejected_by),
