Many timers on one of the event loop's, and an ended connection seen by one system call

Three timers of asyncio's a request, nearly all cancelled, were most of the loop's own cost. Whether a client has left is read from tcp_info in place of a poll object made for each request. Beside that, what keeps modules from being compiled: starred tuples in expressions, a counter of a class that is no ClassVar, and fields of type object.

--- a/standins/fleet/wide.py
+++ b/standins/fleet/wide.py
@@ -2,9 +2,9 @@
 
     python -m standins.fleet.wide [SCENE ...] [--forwarders 200] [--workers 4] [--load 0.6] [--record run.jsonl]
 
-Planners are killed (SIGKILL) and stopped in the middle of whatever they do (SIGSTOP, SIGCONT).  Each scene is played with
-planners and, with the same seeds and rate, without: the last column is the four rules by the nodes' own logs, and the
-line under it how far forwarders followed a plan in the course of it.
+Planners are killed (SIGKILL) and stopped in the middle of whatever they do (SIGSTOP, SIGCONT).  Each scene is played
+with planners and, with the same seeds and rate, without: the last column is the four rules by the nodes' own logs, and
+the line under it how far forwarders followed a plan in the course of it.
 """
 
 from __future__ import annotations
--- a/tests/planning/test_record.py
+++ b/tests/planning/test_record.py
@@ -15,7 +15,7 @@
 from topazbank.planning import plot, record
 
 
-def told(at_s: float, epoch: int | None = 1, **nodes: tuple[float, float, float]) -> dict[str, Any]:
+def told(at_s: float, epoch: int | None = 1, /, **nodes: tuple[float, float, float]) -> dict[str, Any]:
     """A record; of each node its odds, its capacity and what it answered a second."""
     lines = [
         {"name": name, "odds": odds, "capacity": capacity, "answered_a_second": did}
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -24,6 +24,7 @@
 from topazbank.core.members import Dialects, Listed, Source, Told
 from topazbank.core.net import Address
 from topazbank.core.nodes import HTTP, Attempt, Carrier, Nodes, Slots
+from topazbank.core.timers import Timer, Timers
 from topazbank.interface import (
     Action,
     AttemptEnded,
@@ -91,7 +92,7 @@
     answered: bool = False
     sent: int = 0  # attempts so far
     out: dict[int, Attempt | None] = field(default_factory=dict)  # those that have not ended, by number
-    backstop: asyncio.TimerHandle | None = None
+    backstop: Timer | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +150,7 @@
         self._clock = clock or Clock()
         self._observer = wiring.observer(config, self._clock.now) if wiring.observer is not None else None
         self._balancer = Balancer(settings, config.seed, self._observer)
+        self._timers = Timers()
         self._live: dict[int, Live] = {}
         self._by_call: dict[Call, Live] = {}
         self._out: set[str] = set()  # the ids that the application gave to what is live
@@ -299,7 +301,7 @@
         if self._observer is not None:
             self._observer.arrived(call.kind.name)
         at = self._clock.on_loop(live.answer_by)
-        live.backstop = asyncio.get_running_loop().call_at(at, self._give_up, live.ident)
+        live.backstop = self._timers.at(at, self._give_up, live.ident)
         self.handle(
             RequestArrived(
                 live.ident,
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -44,6 +44,8 @@
 
 LIMITS_S = {Phase.WAITING: 2.0, Phase.BEHIND: 2.0, Phase.RESTING: 2.0, Phase.KEPT: 60.0, Phase.LEAVING: 1.0}
 _AT_REST = (Phase.RESTING, Phase.KEPT)
+_CLOSABLE = (Phase.WAITING, *_AT_REST)
+_NOT_BUSY = (*_AT_REST, Phase.LEAVING)
 
 
 class ClientConnection(Reader):
@@ -70,7 +72,7 @@
 
     def is_idle(self) -> bool:
         """Whether it may be closed: no request is held, begun or waiting unread."""
-        return self.phase in (Phase.WAITING, *_AT_REST) and self.is_quiet()
+        return self.phase in _CLOSABLE and self.is_quiet()
 
     def close(self) -> None:
         if self._transport is not None:
@@ -243,7 +245,7 @@
         once, for a twentieth of what refusing a request costs.  Harm: a short pause of the machine under many
         connections ends some too.
         """
-        at_rest = sum(len(self._phases[phase]) for phase in (*_AT_REST, Phase.LEAVING))
+        at_rest = sum(len(self._phases[phase]) for phase in _NOT_BUSY)
         return self._count() - at_rest >= self._most_busy
 
     def opened(self, connection: ClientConnection) -> None:
--- a/topazbank/core/net.py
+++ b/topazbank/core/net.py
@@ -8,6 +8,8 @@
 
 Address = tuple[str, int]
 
+_ESTABLISHED = 1  # the first byte of tcp_info (Linux, tcp.h): an end that has come makes it another
+
 
 def parse_address(text: str) -> Address:
     """Read host:port; raise ValueError on anything else."""
@@ -39,9 +41,12 @@
 
 def has_ended(sock: socket.socket) -> bool:
     """Whether the other side has closed a connection, though what it sent before may be unread."""
-    look = select.poll()
-    look.register(sock, select.POLLRDHUP)
-    return bool(look.poll(0))
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != _ESTABLISHED
+    except OSError:  # no TCP
+        look = select.poll()
+        look.register(sock, select.POLLRDHUP)
+        return bool(look.poll(0))
 
 
 def new_socket(address: Address) -> socket.socket:
--- a/topazbank/core/nodes.py
+++ b/topazbank/core/nodes.py
@@ -10,6 +10,7 @@
 
 from topazbank.core.call import Call, Ended, Response
 from topazbank.core.net import Address
+from topazbank.core.timers import Timer
 from topazbank.interface import Outcome, ServerState
 
 log = logging.getLogger(__name__)
@@ -41,7 +42,7 @@
         self.endpoint = endpoint
         self.until = until  # on the event loop's clock
         self.ended: Ended | None = ended
-        self.timers: list[asyncio.TimerHandle] = []
+        self.timers: list[Timer] = []
 
     def end(self, outcome: Outcome, response: Response | None = None) -> None:
         """Tell the outcome, once; what comes later is nobody's."""
--- a/topazbank/http/upstream.py
+++ b/topazbank/http/upstream.py
@@ -17,6 +17,7 @@
 from topazbank.core.net import is_up, new_socket
 from topazbank.core.nodes import Attempt, Endpoint, Slots
 from topazbank.core.reports import parse_probe, parse_report
+from topazbank.core.timers import Timer, Timers
 from topazbank.http.connection import ABOUT_BODY, Connection, HttpResponse, connect, message
 from topazbank.interface import Outcome, Repeat, ServerState
 
@@ -33,7 +34,7 @@
     """The connections to a node that carry nothing, and the dials to it."""
 
     # The longest at rest first, each with the timer that closes it; bounded with all connections.
-    idle: list[tuple[Connection, asyncio.TimerHandle]] = field(default_factory=list)
+    idle: list[tuple[Connection, Timer]] = field(default_factory=list)
     dialling: set[Exchange] = field(default_factory=set)
 
 
@@ -116,6 +117,7 @@
         self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
         self._rest_s = _REST_PART * dial_limit_s
         self._slots = slots
+        self._timers = Timers()
         self._columns = columns  # of load reports; none: there are no reports
         self._pools: dict[str, Pool] = {}
 
@@ -150,7 +152,7 @@
         if exchange.until <= loop.time():
             exchange.end(Outcome.UNSENT)
             return exchange
-        exchange.timers.append(loop.call_at(exchange.until, self._time_up, exchange))
+        exchange.timers.append(self._timers.at(exchange.until, self._time_up, exchange))
         connection = self._take_idle(exchange.pool, self._rest_s)
         if connection is None and self._slots.is_full():
             connection = self._take_idle(exchange.pool, 0.0)  # no room for another
@@ -220,8 +222,8 @@
         endpoint = exchange.endpoint
         try:
             sock = new_socket(endpoint.address)
-            loop = asyncio.get_running_loop()
-            exchange.timers.append(loop.call_later(self._dial_limit, self._dial_time_up, exchange, sock))
+            up = partial(self._dial_time_up, exchange)
+            exchange.timers.append(self._timers.after(self._dial_limit, up, sock))
             connection = await connect(endpoint.address, BODY_MOST, self._dial_limit, sock)
         except OSError as fault:
             log.debug("no connection to %s: %r", endpoint.name, fault)
@@ -264,9 +266,7 @@
         if exchange.generation != endpoint.generation or endpoint.state is not ServerState.READY:
             connection.abort()
             return
-        timer = asyncio.get_running_loop().call_later(
-            self._idle_s, self._idle_over, exchange.pool, connection
-        )
+        timer = self._timers.after(self._idle_s, partial(self._idle_over, exchange.pool), connection)
         exchange.pool.idle.append((connection, timer))
 
     @staticmethod
--- a/topazbank/msgpackrpc/codec.py
+++ b/topazbank/msgpackrpc/codec.py
@@ -57,8 +57,8 @@
 @dataclass(frozen=True, slots=True)
 class Request:
     msgid: int
-    method: object
-    params: object
+    method: Any
+    params: Any
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,14 +66,14 @@
     """A response; called so to be told apart from a node's `Response` to an attempt."""
 
     msgid: int
-    error: object
-    result: object
+    error: Any
+    result: Any
 
 
 @dataclass(frozen=True, slots=True)
 class Notification:
-    method: object
-    params: object
+    method: Any
+    params: Any
 
 
 Message = Request | Reply | Notification
--- a/topazbank/msgpackrpc/front.py
+++ b/topazbank/msgpackrpc/front.py
@@ -11,6 +11,7 @@
 import socket
 from collections.abc import Iterator
 from functools import partial
+from typing import ClassVar
 
 from topazbank.core.call import Answer, BadCall, Call, Verdict
 from topazbank.core.listener import ClientConnection, Frontend, Phase
@@ -44,7 +45,7 @@
 class RpcConnection(ClientConnection):
     """One MessagePack-RPC connection of a client."""
 
-    _waiting_in_all = 0  # bytes of answers that wait on connections whose clients read slowly
+    _waiting_in_all: ClassVar[int] = 0  # bytes of answers that wait on connections whose clients read slowly
 
     def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
         super().__init__(frontend, sock)
--- a/topazbank/msgpackrpc/upstream.py
+++ b/topazbank/msgpackrpc/upstream.py
@@ -20,6 +20,7 @@
 from topazbank.core.call import Call, Ended
 from topazbank.core.net import Reader, has_ended, is_quiet, is_up, new_socket
 from topazbank.core.nodes import Attempt, Endpoint, Slots
+from topazbank.core.timers import Timers
 from topazbank.interface import Outcome, Repeat, ServerState
 from topazbank.msgpackrpc.codec import MSGID_MOST, Decoder, Junk, Reply, encode_request
 from topazbank.msgpackrpc.mapping import LIVE, STATS, read_reply, write_call
@@ -330,6 +331,7 @@
         self.columns = columns
         self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
         self._sharing = sharing or Sharing()
+        self._timers = Timers()
         self._pools: dict[Endpoint, Pool] = {}
         self._idle: dict[RpcNodeConnection, None] = {}  # those that carry nothing, the longest at rest first
 
@@ -371,7 +373,7 @@
             log.warning("no connection to spare for %s", attempt.endpoint.name)
             attempt.end(Outcome.DIAL_FAILED)
             return attempt
-        attempt.timers.append(loop.call_at(attempt.until, attempt.time_up))
+        attempt.timers.append(self._timers.at(attempt.until, RpcAttempt.time_up, attempt))
         connection.add(attempt)
         return attempt
 
