--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 BIN = .venv/bin
+# What passes a request; the decision module's own tests are of the sources.
+COMPILED_TESTS = tests/test_attempts.py tests/test_frontend.py tests/test_life.py tests/test_rules.py \
+	tests/test_any_sequence.py tests/test_mixed_fleet.py tests/msgpackrpc/test_front.py tests/msgpackrpc/test_upstream.py
 
-.PHONY: setup demo test lint check bench
+.PHONY: setup demo test test-compiled lint check bench
 
 setup:
 	sh deploy/build.sh
@@ -16,6 +19,11 @@
 test: setup
 	$(BIN)/python -m pytest
 
+# The same tests on the copy that is deployed.
+test-compiled: setup
+	PYTHONPATH=.venv/compiled:.:tests $(BIN)/python -P -m pytest -o pythonpath= -p no:cacheprovider -m 'not interpreted' \
+		$(COMPILED_TESTS)
+
 lint: setup
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
--- a/tests/planning/test_record.py
+++ b/tests/planning/test_record.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from pathlib import Path
 from typing import Any
 
@@ -76,6 +77,13 @@
     assert out.read_bytes().startswith(b"\x89PNG")
 
 
+def test_a_time_without_records_is_a_gap_and_not_a_slope() -> None:
+    given = record.read(text(*(told(at, a=(1.0, 1.0, 1.0)) for at in (0.0, 1.0, 9.0))))
+    times, parts = plot.line(record.moments(given)["a"], lambda each: each.dealt)
+    assert times == [0.0, 1.0, 1.0, 9.0]
+    assert [math.isnan(each) for each in parts] == [False, False, True, False]
+
+
 def test_nothing_is_drawn_of_a_run_without_a_leader(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -147,6 +147,7 @@
 
 @pytest.mark.parametrize("spoilt", SPOILT, ids=range(len(SPOILT)))
 @pytest.mark.usefixtures("each_client")
+@pytest.mark.interpreted
 def test_a_spoilt_answer_is_an_error_at_once_and_its_connection_is_not_used_again(
     spoilt: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -144,6 +144,7 @@
 
 
 @pytest.mark.usefixtures("each_pair")
+@pytest.mark.interpreted
 def test_a_refusal_says_when_to_come_back() -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -158,6 +159,7 @@
 
 # Guards against a defect that would kill the process or leave its request without an answer.
 @pytest.mark.usefixtures("each_pair")
+@pytest.mark.interpreted
 def test_a_defect_fails_its_request_and_nothing_else(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -177,6 +179,7 @@
 
 
 @pytest.mark.usefixtures("each_pair")
+@pytest.mark.interpreted
 def test_a_defect_in_carrying_out_fails_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
         async with world(served) as w:
@@ -190,6 +193,7 @@
 
 
 @pytest.mark.usefixtures("each_pair")
+@pytest.mark.interpreted
 def test_a_module_that_forgets_a_request_leaves_it_no_longer_than_its_time() -> None:
     async def scene() -> None:
         async with world(served) as w:
--- a/tests/test_mixed_fleet.py
+++ b/tests/test_mixed_fleet.py
@@ -68,6 +68,7 @@
 
 @pytest.mark.parametrize("protocol", [HTTP, MSGPACK_RPC])
 @pytest.mark.parametrize("status", [200, 503])
+@pytest.mark.interpreted
 def test_load_reports_reach_the_module_from_answers_and_from_turned_away_calls(
     protocol: str, status: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/topazbank/planning/plot.py
+++ b/topazbank/planning/plot.py
@@ -5,13 +5,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+import math
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 
 from topazbank.planning.record import Moment, fits
 
 PANELS_MOST = 30  # nodes with a panel of their own; of a larger fleet those that are furthest off
 COLUMNS = 5
+GAP_S = 3.0  # without a record: they come each second
 
 
 def draw(courses: Mapping[str, Sequence[Moment]], out: Path) -> None:
@@ -36,12 +38,12 @@
     spaces = [panel for row in panels[1:] for panel in row]
     for panel, node in zip(spaces, shown, strict=False):
         course = courses[node]
-        times = [each.at_s for each in course]
-        panel.plot(times, [100 * each.capacity for each in course], color="black", lw=1.2, label="can do")
-        panel.plot(times, [100 * each.dealt for each in course], color="tab:blue", lw=1.0, label="dealt")
-        panel.plot(
-            times, [100 * each.answered for each in course], color="tab:orange", lw=0.8, label="answered"
-        )
+        for label, color, part in (
+            ("can do", "black", lambda each: each.capacity),
+            ("dealt", "tab:blue", lambda each: each.dealt),
+            ("answered", "tab:orange", lambda each: each.answered),
+        ):
+            panel.plot(*line(course, part), color=color, lw=1.0, label=label)
         panel.set_title(node, fontsize=8)
         panel.set_ylim(bottom=0.0)
         panel.tick_params(labelsize=7)
@@ -54,6 +56,19 @@
     pyplot.close(figure)
 
 
+def line(course: Sequence[Moment], part: Callable[[Moment], float]) -> tuple[list[float], list[float]]:
+    """Times and parts in %, broken where records are missing: a planner that was gone is a gap, not a slope."""
+    times: list[float] = []
+    parts: list[float] = []
+    for each in course:
+        if times and each.at_s - times[-1] > GAP_S:
+            times.append(times[-1])
+            parts.append(math.nan)
+        times.append(each.at_s)
+        parts.append(100 * part(each))
+    return times, parts
+
+
 def _overall(panel: object, courses: Mapping[str, Sequence[Moment]]) -> None:
     """All nodes' means: on the diagonal a node is dealt just what it can do."""
     from matplotlib.axes import Axes
