--- a/topazbank/core/timers.py
+++ b/topazbank/core/timers.py
@@ -1,7 +1,7 @@
 """Many timers on one of the event loop's.
 
-Every request needs a few, and nearly all are cancelled.  These are a tuple on a heap each; the loop, whose own cost
-several times as much, is asked for one timer, for the earliest.
+Every request needs a few, and nearly all are cancelled.  These are a tuple on a heap each; the loop is asked for
+one timer, for the earliest.
 """
 
 from __future__ import annotations
