--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,9 @@
 bench: setup
 	$(BIN)/python -m benchmarks.forward_cost
 
+# Spread over all cores: each test has its own ports and processes.
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n auto
 
 # The same tests on the copy that is deployed.
 test-compiled: setup
