Attempts are judged as soon as they have taken the bearable part of their aim

Traced by events and actions of all 40 sidecars: 31 of them return at 11 s with no knowledge and let all in; the jam drains by 14 s (median answer 0.14 of its aim from then on), yet they refuse 88% in that second and 35% to 75% in the next five. At fault: the running median and the late share were told by answers that came, so a jam was seen an aim late, its news went on coming for seconds, and refusing left few to correct it (Balancer._feel, _size_window).

sight/strain.py (no I/O): each attempt is judged when it has taken the bearable part of its aim, answered or not; a second verdict at 0.6 of the aim tells plainly of overload; beliefs follow the time since the last news; what the fleet has borne for its capacity passes at any time.

--- /dev/null
+++ b/tests/sight/test_strain.py
@@ -0,0 +1,166 @@
+"""What a sidecar believes of the fleet's load, and how long it goes on believing it."""
+
+from __future__ import annotations
+
+import pytest
+
+from topazbank.sight.strain import BORNE_PART, HOPELESS_LEAST, LEVEL, LEVEL_MOST, UNJUDGED_MOST, Borne, Strain
+
+MS = 1_000
+S = 1_000_000
+AIM = 1 * S
+
+
+def _jam(strain: Strain, now: int) -> int:
+    """A jam: late answers, ten a second, until the belief is as bad as can be."""
+    for _ in range(40):
+        now += 100 * MS
+        strain.feel(now, 2.0, calm=False)
+    assert strain.spent > 0.9 and strain.late > 0.75
+    return now
+
+
+@pytest.mark.parametrize("gap", [100 * MS, 400 * MS, 1 * S])
+def test_a_jam_is_forgotten_in_about_as_long_however_few_answers_come(gap: int) -> None:
+    # Guards against a belief that outlives its cause: who refuses nearly all gets nearly no answers.
+    strain = Strain(AIM)
+    now = began = _jam(strain, 0)
+    while strain.spent > LEVEL:
+        now += gap
+        strain.feel(now, 0.1, calm=False)
+    assert now - began <= max(2 * S, 6 * gap)
+
+
+def test_many_answers_at_once_move_the_belief_no_further_than_before() -> None:
+    strain = Strain(AIM)
+    now = 0
+    for _ in range(200):
+        now += 5 * MS
+        strain.feel(now, 0.1, calm=True)
+    before = strain.spent
+    strain.feel(now + 5 * MS, 2.0, calm=True)
+    assert strain.spent - before == pytest.approx(0.04)
+    assert strain.late == pytest.approx(0.02)
+
+
+def test_a_single_answer_after_a_rest_does_not_turn_the_belief_round() -> None:
+    strain = Strain(AIM)
+    strain.feel(0, 0.1, calm=True)
+    strain.feel(60 * S, 3.0, calm=True)
+    assert strain.spent < LEVEL and strain.late < 0.2
+
+
+def _send_and_answer(strain: Strain, now: int, count: int, every: int, taking: int | None) -> int:
+    """Attempts every so often, each answered after so long, or never; the time at the end."""
+    out = []
+    for _ in range(count):
+        now += every
+        out.append((now, strain.sent(now, AIM, 0.0)))
+        while taking is not None and out and out[0][0] + taking <= now:
+            strain.answered(now, out.pop(0)[1])
+        strain.mature(now)
+    return now
+
+
+def test_silence_is_judged_at_the_level_and_not_when_late_answers_come() -> None:
+    # Guards against a jam that is seen an aim too late: everything is let in meanwhile.
+    strain = Strain(AIM)
+    now = _send_and_answer(strain, 0, 100, 20 * MS, 100 * MS)
+    assert strain.excess() < -0.9
+    _send_and_answer(strain, now, 20, 20 * MS, None)  # 0.4 s of silence
+    assert strain.excess() > -0.9
+    _send_and_answer(strain, now + 400 * MS, 40, 20 * MS, None)
+    assert strain.excess() > 0.0 and strain.late == 0.0
+
+
+def test_answers_to_what_was_sent_long_ago_change_no_verdict() -> None:
+    # Guards against late answers of a jam that is over: its news goes on coming for seconds.
+    strain = Strain(AIM)
+    old = [strain.sent(0, AIM, 0.0) for _ in range(50)]
+    strain.mature(2 * AIM)
+    now = _send_and_answer(strain, 2 * AIM, 200, 20 * MS, 100 * MS)
+    before = strain.excess()
+    for each in old:
+        strain.answered(now, each)
+    assert strain.excess() == before < -0.9
+
+
+def test_a_fleet_that_is_always_slow_is_not_plainly_overloaded_and_a_silent_one_is() -> None:
+    slow, silent = Strain(AIM), Strain(AIM)
+    _send_and_answer(slow, 0, 200, 20 * MS, 500 * MS)
+    _send_and_answer(silent, 0, 200, 20 * MS, None)
+    assert not slow.is_plain() and silent.is_plain()
+
+
+def test_few_verdicts_are_not_plain() -> None:
+    strain = Strain(AIM)
+    for each in range(HOPELESS_LEAST - 1):
+        strain.sent(each, AIM, 0.0)
+    strain.mature(2 * AIM)
+    assert not strain.is_plain()
+
+
+def test_attempts_that_ended_without_a_word_have_no_verdict() -> None:
+    # Dials that failed tell of dead servers, not of busy ones.
+    strain = Strain(AIM)
+    for each in range(30):
+        strain.sent(each, AIM, 0.0).open = False
+    assert not strain.mature(2 * AIM)
+    assert strain.excess() == -1.0
+
+
+def test_what_waits_for_a_verdict_is_bounded() -> None:
+    strain = Strain(AIM)
+    for each in range(UNJUDGED_MOST + 100):
+        strain.sent(each, AIM, 0.0)
+    assert sum(len(each) for each in strain._waiting.values()) == UNJUDGED_MOST
+
+
+def test_the_level_follows_a_fleet_that_is_slow_when_idle_but_only_so_far() -> None:
+    strain = Strain(AIM)
+    assert strain.level(0.0) == LEVEL
+    now = 0
+    for _ in range(2_000):
+        now += 20 * MS
+        strain.feel(now, 0.45, calm=True)
+    assert LEVEL < strain.level(0.0) <= LEVEL_MOST
+    assert strain.level(1.0) >= strain.level(0.0)
+
+
+def test_reported_cores_follow_what_is_reported() -> None:
+    strain = Strain(AIM)
+    assert strain.cores is None
+    strain.reported(1.0)
+    assert strain.cores == 1.0
+    for _ in range(60):
+        strain.reported(0.2)
+    assert strain.cores == pytest.approx(0.2, abs=0.01)
+
+
+def _serve(borne: Borne, now: int, seconds: float, every: int) -> int:
+    for _ in range(int(seconds * S / every)):
+        now += every
+        borne.served(now, AIM)
+        borne.least(now, 10.0)
+    return now
+
+
+def test_what_the_fleet_has_borne_passes_though_nothing_is_answered_now() -> None:
+    borne = Borne(AIM)
+    now = _serve(borne, 0, 5, 50 * MS)  # twenty a second: twenty in flight if each took all its aim
+    assert borne.least(now + 2 * S, 10.0) == pytest.approx(20 * BORNE_PART, rel=0.2)
+
+
+def test_what_the_fleet_has_borne_falls_with_the_servers_that_are_left() -> None:
+    borne = Borne(AIM)
+    now = _serve(borne, 0, 5, 50 * MS)
+    whole = borne.least(now + 1 * S, 10.0)
+    assert borne.least(now + 1 * S, 4.0) == pytest.approx(0.4 * whole, rel=0.01)
+    assert borne.least(now + 1 * S, 0.0) == 0.0  # nobody is left: nothing passes
+
+
+def test_what_the_fleet_bore_long_ago_is_forgotten() -> None:
+    borne = Borne(AIM)
+    now = _serve(borne, 0, 5, 50 * MS)
+    before = borne.least(now, 10.0)
+    assert borne.least(now + 60 * S, 10.0) < 0.05 * before
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -463,16 +463,21 @@
 
 def test_a_new_balancer_does_not_size_its_window_by_its_first_answers() -> None:
     # Guards against refusals after each restart: all connections are new, and the rates not full yet.
-    balancer = Stage().balancer
-    for spent in [0.5] * 8:
-        balancer._feel(spent)
-    assert balancer._window == float("inf")
-    for _ in range(4):
-        balancer._feel(2.0)  # a few late ones may be chance
-    assert balancer._window == float("inf")
-    for _ in range(40):
-        balancer._feel(2.0)  # nearly all late: that is overload, however new the balancer
-    assert balancer._window < float("inf")
+    stage = Stage()
+    stage.servers(names(8))
+    stage.serve(60, every_us=10 * MS, taking_us=250 * MS)
+    assert stage.balancer._window == float("inf")
+
+
+def test_a_new_balancer_in_a_jam_sizes_its_window_before_anything_is_late() -> None:
+    # Guards against a restarted balancer that lets all in until late answers prove what silence told long before.
+    stage = Stage()
+    stage.servers(names(8))
+    began = stage.now
+    while stage.balancer._window == float("inf") and stage.now < began + 2 * S:
+        stage.wait(10 * MS)
+        stage.request()
+    assert stage.now - began < 500 * MS
 
 
 def test_a_fleet_that_is_all_released_anew_is_not_starved_while_it_warms() -> None:
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -50,6 +50,8 @@
     Settings,
     TimerFired,
 )
+from topazbank.sight.fading import Fit, Rate
+from topazbank.sight.strain import Borne, Strain, Verdict
 
 # -- Constants: ratios of what the settings give or of what was observed ------------------------------
 
@@ -62,10 +64,8 @@
 BEARABLE_SPENT = 0.5  # a probed server may be expected to take this part of the aim, for the most worthy
 BEARABLE_SPREAD = 0.3  # and this much less of it for the least worthy
 LEAST_SIZE = 0.1  # of the mean: a nominal size of zero is junk
-FIT_STEP = 0.03  # what a held request costs in time is fitted over the last thirty answers or so
 FIT_CLIP = 3.0  # one answer counts for at most this many times what was expected: a jam is no rule
 FIT_FLOOR = 0.2  # but for this part of the aim at any rate
-FIT_LEAST = 5.0  # fewer say nothing
 BEAT_AIMS = 0.1  # while anything is out, a timer falls due this often, so that an own stall is noticed
 STALL_BEATS = 1.0  # a timer later than this many beats tells of a stall
 TRICKLE = 0.01  # part let in where probes tell of overload: what they foretell must stay checked
@@ -99,11 +99,6 @@
 PACE_CLIP = 4.0  # one answer counts for at most this many usual ones: heavy requests say little of a server
 NORM_STEP = 0.02  # the usual time and cost of a class follow its last fifty requests or so
 UNSEEN_AIMS = 0.3  # the usual time before any answer, in aims
-AIM_SPENT = 0.3  # the typical answer may take this part of its aim; beyond that the fleet is overloaded
-AIM_SPENT_FEW = 0.4  # or this, where so few are in flight that much of the median is chance
-FLOOR_ROOM = 1.2  # but never less than this many times what it takes when the fleet is idle
-AIM_SPENT_MOST = 0.5  # and never more than this part of the aim, or overload would pass for the usual
-SPENT_MOST = 1.0  # the median is not followed past the aim: from there it must find back
 NEW_AIMS = 2.0  # the window is first sized this many of the longest aim after the first answer
 BACK_AIMS = 0.1  # a refused client should come back after about this part of its aim
 LEAST_WINDOW = 0.1  # a trickle passes at any time, so that relief is seen
@@ -113,16 +108,11 @@
 SPARSE_ROOM = 1.2  # and this many times what was answered in time is let in
 SPARSE_PRIOR = 2.0  # requests taken as answered in time beforehand: fewer are chance
 LATE_ALLOWED = 0.05  # nor is a fleet overloaded that answers all but this part in time
-LATE_STEP = 0.02  # of the last fifty answers or so
 CORES_BUSY = 0.85  # while servers report their cores less busy than this, there is room for more
 CORES_IDLE = 0.6  # cores this idle tell that late answers come from a few slow servers
 CORES_SPARE = 0.4  # and this idle tell so to a busy balancer too: more may be crowded before reports say so
 CORES_SATURATED = 0.95  # cores this busy tell of overload before late answers do
 UTIL_MOST = 2.0  # a report of more than noise can make of a share is junk
-CORES_STEP = 0.1  # of the last ten reports or so
-FLOOR_CREEP = 0.02  # the idle time may rise by this part of the median's step at each answer
-FLOOR_CREEP_PRESSED = 0.002  # and hardly while refusing
-MEDIAN_STEP = 0.04  # step of the running median: some 25 answers turn it round
 LOST_SPENT = 2.0  # what a full answer counts as, in aims: it would have been late by far
 WINDOW_AIMS = 0.5  # at twice the level the window shrinks e-fold in this many of the longest aim
 MIX_AIMS = 4.0  # what is asked by class and tenant is averaged over this many of the longest aim
@@ -177,6 +167,7 @@
     sent_at: int
     absent_before: int  # how long the balancer had stalled by then
     answers_before: int  # how many answers had come by then, from all servers
+    verdict: Verdict  # on how long it takes
     pending: bool = True
     may_have_run: bool = True  # until an outcome proves that it did not
     started: bool = False
@@ -290,14 +281,16 @@
         self._arrivals = Rate(RATE_SPANS * settings.rules.fall_us)
         self._served_warm = Rate(RATE_SPANS * settings.rules.fall_us)
         self._norms: dict[tuple[str, int], float] = {}  # usual time of a class and size, over all servers
-        self._spent = 0.0  # running median of the part of its aim that an answer takes
-        self._cores: float | None = None  # how busy servers report their cores, on average; None: not at all
-        self._late = 0.0  # part of the answers that come after their aim
-        self._floor: float | None = None  # the least that median has been of late
+        self._strain = Strain(self._longest_aim)
+        self._borne = Borne(self._longest_aim)
         self._window = math.inf  # how many own requests in flight the fleet bears in time
         self._served_aims = Rate(self._longest_aim)  # time allowed to what was answered, per time
         span = SPARSE_AIMS * self._longest_aim
         self._in_time, self._too_late, self._shed = Rate(span), Rate(span), Rate(span)
+        self._able, self._capacity_due = (
+            0.0,
+            0,
+        )  # what the ready servers can do, and when it is looked at again
         self._bound = False  # whether the window refused anything since it was last sized
         self._mean_load, self._load_at = 0.0, 0  # own requests in flight, averaged, and when
         self._sized_at = self._sized_from = 0
@@ -319,6 +312,8 @@
         self._actions = []
         self._follow_load()
         self._notice_stall(event)
+        if not self._is_behind() and self._strain.mature(now):
+            self._size_window(self._load())
         if not self._begun:
             self._begun = True
             self._ask()
@@ -534,23 +529,18 @@
     # -- Overload: refuse early, the least worthy first -----------------------------------------------
 
     def _feel(self, spent: float) -> None:
-        """Follow how much of its aim the typical answer takes, and size the window by it.
-
-        A median, so that a few slow servers or heavy requests are not taken for an overloaded fleet.
-        """
+        """Follow how much of its aim the typical answer takes, and size the window by it."""
         (self._in_time if spent <= 1.0 else self._too_late).add(self._now, 1.0)
-        if self._floor is None:
-            self._spent = self._floor = min(spent, AIM_SPENT)
+        if self._strain.floor is None:
             self._sized_from = self._now + int(NEW_AIMS * self._longest_aim)
-        stretch = self._stretch()
-        step = stretch * MEDIAN_STEP * (1.0 if spent > self._spent else -1.0)
-        self._spent = max(0.0, min(self._spent + step, SPENT_MOST))
-        self._late += stretch * LATE_STEP * ((1.0 if spent > 1.0 else 0.0) - self._late)
         load = self._load()
-        creep = FLOOR_CREEP if load <= FREE * self._window else FLOOR_CREEP_PRESSED
-        self._floor = min(self._floor + creep * MEDIAN_STEP, max(self._spent, MEDIAN_STEP))
+        self._strain.feel(self._now, spent, load <= FREE * self._window)
         self._size_window(load)
 
+    def _chance(self) -> float:
+        """The fewer answers there are, the more of the median is chance: it must be further off to count."""
+        return (self._stretch() - 1.0) / (STRETCH_MOST - 1.0)
+
     def _stretch(self) -> float:
         """How much longer than in a busy balancer it takes here to tell a change from chance."""
         return max(1.0, min(MANY / max(self._mean_load, 1e-9), STRETCH_MOST))
@@ -571,24 +561,24 @@
         let in less by themselves.  By Little's law, what is answered at this rate within the allowed level
         needs rate times time in flight; below that the window never shrinks, or late news would shut it.
         """
-        if self._now < self._sized_from and self._late < 10 * LATE_ALLOWED:
+        strain = self._strain
+        if self._probes > 1:
+            return  # probes tell
+        if self._now < self._sized_from and strain.late < 10 * LATE_ALLOWED and not strain.is_plain():
             return  # every connection is new, the rates are not full: less than half late may be chance
         stretch = self._stretch()
         lapse = min(self._now - self._sized_at, stretch * self._longest_aim / 4)
         self._sized_at = self._now
-        level = min(max(AIM_SPENT, FLOOR_ROOM * (self._floor or 0.0)), AIM_SPENT_MOST)
-        # The fewer answers there are, the more of the median is chance: it must be further off to count.
-        chance = (stretch - 1.0) / (STRETCH_MOST - 1.0)
-        level = max(level, AIM_SPENT + chance * (AIM_SPENT_FEW - AIM_SPENT))
-        excess = (self._spent - level) / level
-        if self._cores is not None and (stretch > 1.0 or self._cores < CORES_SPARE):
+        level = strain.level(self._chance())
+        excess = strain.excess()
+        if strain.cores is not None and (stretch > 1.0 or strain.cores < CORES_SPARE):
             # Late answers from servers with idle cores tell of a few slow ones, of broken connections or of
             # this balancer's own lag, not of too many requests: refusing would only bring clients back.
             # Harm: overload that cores don't show.  Else a busy balancer goes by answers, which come sooner.
-            excess = min(excess, (self._cores - CORES_BUSY) / (1.0 - CORES_BUSY))
+            excess = min(excess, (strain.cores - CORES_BUSY) / (1.0 - CORES_BUSY))
         excess = max(-1.0, min(excess, 1.0))
-        saturated = self._cores is not None and self._cores >= CORES_SATURATED
-        if excess > 0.0 and self._late < LATE_ALLOWED and not saturated:
+        saturated = (strain.cores is not None and strain.cores >= CORES_SATURATED) or strain.is_plain()
+        if excess > 0.0 and strain.late < LATE_ALLOWED and not saturated:
             return  # slower than usual, yet in time
         if excess > 0.0:
             self._window = min(self._window, max(load, self._mean_load / FREE))
@@ -598,7 +588,15 @@
         change = math.exp(-excess * lapse / (WINDOW_AIMS * self._longest_aim))
         self._served_aims.over(stretch * self._longest_aim)
         borne = level * self._served_aims.per_us(self._now)
-        self._window = max(self._window * change, min(borne, self._window), LEAST_WINDOW)
+        least = level * self._borne.least(self._now, self._capacity())
+        self._window = max(self._window * change, min(max(borne, least), self._window), LEAST_WINDOW)
+
+    def _capacity(self) -> float:
+        """What the ready servers can do by now, nominally; looked at once a beat."""
+        if self._now >= self._capacity_due:
+            self._capacity_due = self._now + self._beat
+            self._able = sum(s.nominal * self._warmth(s) for s in self._ready if s.ejected_until is None)
+        return self._able
 
     def _load(self) -> int:
         """Own requests in flight, with those given up on, at servers that are not ejected.
@@ -642,7 +640,7 @@
 
     def _sheds_by_count(self, standing: float) -> bool:
         """Whether to refuse where few requests come: by counts over a fixed time, so that relief is seen."""
-        if self._cores is not None and self._cores < CORES_IDLE:
+        if self._strain.cores is not None and self._strain.cores < CORES_IDLE:
             return False  # late answers from servers with idle cores tell of a few slow ones
         span = SPARSE_AIMS * self._longest_aim
         in_time = self._in_time.per_us(self._now) * span + SPARSE_PRIOR
@@ -774,7 +772,11 @@
         Spares crossings without the trap of a zone that has more traffic than servers: as the own zone's pace
         falls behind, or answers come late anywhere, the odds even out.
         """
-        if self._settings.prices.cross_zone <= 0.0 or self._late >= LATE_ALLOWED or self._fill() > FREE:
+        if (
+            self._settings.prices.cross_zone <= 0.0
+            or self._strain.late >= LATE_ALLOWED
+            or self._fill() > FREE
+        ):
             return 1.0  # room anywhere is worth more than a crossing
         awake = [each for each in self._ready if each.ejected_until is None]
         near = [each.pace for each in awake if each.zone == self._settings.zone]
@@ -923,7 +925,8 @@
             return False  # rule 4
         if self._is_cold(server):
             server.allowance -= request.cost
-        attempt = Attempt(len(request.attempts), server, self._now, self._absent_us, self._answers)
+        verdict = self._strain.sent(self._now, request.kind.aim_us, self._chance())
+        attempt = Attempt(len(request.attempts), server, self._now, self._absent_us, self._answers, verdict)
         request.attempts.append(attempt)
         server.in_flight += 1
         server.idle = max(server.idle - 1, 0)
@@ -992,6 +995,10 @@
         if not attempt.pending:
             return
         attempt.pending = False
+        if event.outcome is Outcome.DELIVERED:
+            self._strain.answered(self._now, attempt.verdict)
+        elif event.outcome is not Outcome.EXPIRED:
+            attempt.verdict.open = False
         attempt.may_have_run = event.outcome not in self._proves_unrun
         if request.queue is not None and event.outcome in _MAY_RUN_ON:
             request.queue.rests_until = self._now + self._settings.rules.turn_gap_us
@@ -1003,8 +1010,7 @@
             self._connection_idle(attempt.server)
         self._judge(request, attempt, event.outcome)
         if event.report and event.report.get("util", UTIL_MOST) < UTIL_MOST:
-            busy = min(max(event.report["util"], 0.0), 1.0)
-            self._cores = busy if self._cores is None else self._cores + CORES_STEP * (busy - self._cores)
+            self._strain.reported(min(max(event.report["util"], 0.0), 1.0))
         if event.outcome in (Outcome.EXPIRED, Outcome.CANCELLED):
             if not (attempt.felt or request.answered or event.answered):
                 self._too_late.add(self._now, 1.0)
@@ -1019,6 +1025,8 @@
             self._pace(attempt.server, request, int(PACE_CLIP * self._usual(request)))
         if event.outcome is Outcome.DELIVERED:
             self._served_aims.add(self._now, request.kind.aim_us)
+            if event.elapsed_us <= request.kind.aim_us:
+                self._borne.served(self._now, request.kind.aim_us)
         if event.outcome is Outcome.DELIVERED and not self._is_behind():
             if attempt.held is not None:
                 expected = self._by_held.at(attempt.held)
@@ -1099,8 +1107,8 @@
         elif not attempt.felt and server.ejected_until is None:
             # Late already, though no answer says so yet: waiting for one would see a surge too late.
             attempt.felt = True
-            if self._cores is not None and silent:
-                self._cores += CORES_STEP * (1.0 - self._cores)  # no answer, no report: reports alone flatter
+            if self._strain.cores is not None and silent:
+                self._strain.reported(1.0)  # no answer, no report: reports alone flatter
             self._feel(LOST_SPENT)
         enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
         if silent and waited < enough:
@@ -1298,62 +1306,3 @@
     kind: ServiceClass
     tenant: str | None
     rate: Rate
-
-
-class Fit:
-    """A straight line through fading observations."""
-
-    __slots__ = ("_n", "_x", "_xx", "_xy", "_y")
-
-    def __init__(self) -> None:
-        self._n = self._x = self._y = self._xx = self._xy = 0.0
-
-    def add(self, x: float, y: float) -> None:
-        keep = 1.0 - FIT_STEP
-        self._n = keep * self._n + 1.0
-        self._x = keep * self._x + x
-        self._y = keep * self._y + y
-        self._xx = keep * self._xx + x * x
-        self._xy = keep * self._xy + x * y
-
-    def rate(self, time: float) -> float | None:
-        """What is held over the time it takes (Little's law)."""
-        return self._x / (self._y * time) if self._n >= FIT_LEAST and self._y > 0.0 else None
-
-    def at(self, x: float) -> float | None:
-        """The value expected at x; it never falls as x grows."""
-        if self._n < FIT_LEAST:
-            return None
-        mean_x, mean_y = self._x / self._n, self._y / self._n
-        spread = self._xx / self._n - mean_x * mean_x
-        slope = max(self._xy / self._n - mean_x * mean_y, 0.0) / (spread + 1.0)
-        return mean_y + slope * (x - mean_x)
-
-
-class Rate:
-    """A rate over a sliding span of time: an exponentially fading count."""
-
-    __slots__ = ("_at", "_count", "_span_us")
-
-    def __init__(self, span_us: float) -> None:
-        self._span_us = span_us
-        self._count = 0.0
-        self._at = 0
-
-    def over(self, span_us: float) -> None:
-        """Average over another span from now on."""
-        self._count *= span_us / self._span_us
-        self._span_us = span_us
-
-    def add(self, now: int, amount: float) -> None:
-        self._fade(now)
-        self._count += amount
-
-    def per_us(self, now: int) -> float:
-        self._fade(now)
-        return self._count / self._span_us
-
-    def _fade(self, now: int) -> None:
-        if now > self._at:
-            self._count *= math.exp((self._at - now) / self._span_us)
-            self._at = now
