Sidecars tell one another what they have in flight, and ties go by it

sight/hearsay.py (no I/O): each sidecar tells all others its counts by server, as often as 0.006 points of service pay for; whole pictures, so a lost one is made good; forgotten after a second. core/peers.py carries them over the platform's datagrams; own counts still go first, as the design says, and ties by the others' counts at the server's pace.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -39,6 +39,7 @@
     "msgpackrpc/mapping.py",
     "msgpackrpc/upstream.py",
     "sight/fading.py",
+    "sight/hearsay.py",
     "sight/strain.py",
 )
 LIMIT_S = 600.0  # of the compiler's: it takes a minute and a half of CPU, over all cores
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -48,9 +48,11 @@
     ServiceClass,
     SetTimer,
     Settings,
+    Tell,
     TimerFired,
 )
 from topazbank.sight.fading import Fit, Rate
+from topazbank.sight.hearsay import Hearsay, tag_of
 from topazbank.sight.strain import Borne, Strain, Verdict
 
 # -- Constants: ratios of what the settings give or of what was observed ------------------------------
@@ -133,6 +135,7 @@
     name: str
     number: int  # in the order heard of
     place: float  # chance, drawn once: this balancer's order of the servers
+    tag: int  # by which other balancers tell of it
     zone: str = ""
     cell: int = 0
     nominal: float = 1.0
@@ -283,6 +286,9 @@
         self._norms: dict[tuple[str, int], float] = {}  # usual time of a class and size, over all servers
         self._strain = Strain(self._longest_aim)
         self._borne = Borne(self._longest_aim)
+        messages = settings.limits.may_message and settings.group_size > 1
+        self._hearsay = Hearsay(settings.prices.message, settings.group_size) if messages else None
+        self._heard_at = 0  # when what others told was last gone through
         self._window = math.inf  # how many own requests in flight the fleet bears in time
         self._served_aims = Rate(self._longest_aim)  # time allowed to what was answered, per time
         span = SPARSE_AIMS * self._longest_aim
@@ -303,7 +309,7 @@
             RequestGone: self._request_gone,
             AnswerStarted: self._answer_started,
             ProbeEnded: self._probe_ended,
-            MessageReceived: lambda _: None,  # none are sent, so none are awaited
+            MessageReceived: self._message_received,
         }
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -319,6 +325,7 @@
             self._ask()
         self._take[type(event)](event)
         self._take_turns()
+        self._tell_others()
         self._keep_beat()
         self._arm_timer()
         return self._actions
@@ -395,7 +402,7 @@
         server = self._servers.get(line.server)
         if server is None:
             self._heard_of += 1
-            server = Server(line.server, self._heard_of, self._random.random())
+            server = Server(line.server, self._heard_of, self._random.random(), tag_of(line.server))
             self._servers[line.server] = self._numbered[server.number] = server
         if server.state is ServerState.READY:
             self._stand(server, False)
@@ -442,6 +449,8 @@
             allowed = max(event.remaining_us, 1)
             kind = ServiceClass(event.service_class, allowed, allowed, by_arrival=self._in_order)
         self._arrivals.add(self._now, 1.0)
+        if self._hearsay is not None and not event.client_retry:
+            self._hearsay.arrived()
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
         answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
         cost = self._relative_cost(kind, event.cost_us)
@@ -701,11 +710,31 @@
         power = min(max(1.0, float(request.size)), HEAVY_POWER)
         odds = [self._odds(each, power) for each in pool]
         drawn = self._drawn(pool, odds, DRAWN << request.said_full)
-        best = min(drawn, key=lambda each: (self._busy(each), each.pace))
+        best = min(drawn, key=self._rank)
         if self._probes > 1 and self._now != self._back_at:  # others that stalled with it would hear the same
             return best, sorted(drawn, key=self._busy)[: self._probes]
         return best, []
 
+    def _rank(self, server: Server) -> tuple[int, float]:
+        """Own requests in flight, then what all others are known to have there by how quick it is."""
+        others = self._hearsay.held(server.tag) if self._hearsay is not None else 0
+        return self._busy(server), (others + 1) * max(server.pace, 1.0 / PACE_CLIP) / self._warmth(server)
+
+    def _message_received(self, event: MessageReceived) -> None:
+        if self._hearsay is not None and event.sender != self._settings.me:
+            self._hearsay.hear(self._now, event.sender, event.payload)
+
+    def _tell_others(self) -> None:
+        """Tell the other balancers what is in flight here, as often as that is worth its price."""
+        if self._hearsay is None or not self._hearsay.due(self._now):
+            return
+        if self._now - self._heard_at >= self._beat:
+            self._heard_at = self._now
+            self._hearsay.forget_old(self._now)
+        told = self._hearsay.tell(self._now, [(s.tag, self._busy(s)) for s in self._servers.values()])
+        if told is not None:
+            self._actions.append(Tell(None, told))
+
     def _guided(self, request: Request, guide: Guide) -> Server | None:
         """Best of the few that the guide draws; none where it draws none, or none of them can be sent to."""
         drawn = [self._servers.get(name) for name in guide.drawn(self._now, self._random.random)]
--- a/topazbank/config.py
+++ b/topazbank/config.py
@@ -9,6 +9,7 @@
 from topazbank.core.driver import Config
 from topazbank.core.members import Told
 from topazbank.core.net import Address, parse_address
+from topazbank.core.peers import Tier
 from topazbank.membership.registry import parse_list
 from topazbank.wirenames import settings_from_wire
 
@@ -33,6 +34,21 @@
         sockets=_sockets(given.get("limits")),
         settings=settings_from_wire(given.get("settings")),
         known=Told(0, True, []) if known is None else parse_list(known),
+        tier=_tier(given),
+    )
+
+
+def _tier(given: dict[str, Any]) -> Tier | None:
+    if given.get("peer_listen") is None:
+        return None
+    members = given.get("peers", [])
+    if not isinstance(members, list):
+        raise ValueError("peers: a list of addresses is needed")
+    reaches_all = given.get("peers_all")
+    return Tier(
+        listen=_address(given["peer_listen"], "peer_listen"),
+        members=tuple(_address(each, f"peers[{number}]") for number, each in enumerate(members)),
+        all=None if reaches_all is None else _address(reaches_all, "peers_all"),
     )
 
 
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -24,6 +24,7 @@
 from topazbank.core.members import Dialects, Listed, Source, Told
 from topazbank.core.net import Address
 from topazbank.core.nodes import HTTP, Attempt, Carrier, Nodes, Slots
+from topazbank.core.peers import Peers, Tier
 from topazbank.core.timers import Timer, Timers
 from topazbank.interface import (
     Action,
@@ -38,6 +39,7 @@
     ListedServer,
     ListKind,
     Log,
+    MessageReceived,
     Outcome,
     Probe,
     ProbeEnded,
@@ -49,6 +51,7 @@
     ServerState,
     SetTimer,
     Settings,
+    Tell,
     TimerFired,
 )
 from topazbank.interface import Discovery as DiscoveryMode
@@ -105,6 +108,7 @@
     sockets: int
     settings: Settings
     known: Told
+    tier: Tier | None = None  # None: sidecars do not hear one another
 
 
 class Observer(Guide, Protocol):
@@ -167,6 +171,8 @@
         self._stepping = False  # whether the next step of the list is due in the loop's next turn
         self._source_of_list = 0  # counts the sources: what a former one tells late is not heard
         self._discovery = self._make_source(config, wiring)
+        told = config.tier is not None and settings.limits.may_message
+        self._peers = Peers(config.tier, self._message) if told and config.tier is not None else None
         roster = self._show_roster if wiring.show_roster else None
         hooks = Hooks(self._taken, self._gone, self._out.__contains__, self._is_ready, roster)
         self.frontend = Frontend(config.listen, half, hooks, Rulebook(settings), wiring.text, wiring.binary)
@@ -180,6 +186,7 @@
             CloseIdle: lambda action: self._nodes.close_idle(action.server),
             Follow: lambda action: self._discovery.follow(action.wanted),
             FetchList: lambda _: self._discovery.fetch(),
+            Tell: self._tell,
             Log: lambda action: log.info("%s", action.text),
         }
 
@@ -190,6 +197,8 @@
         self._remember(self._known)
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
+        if self._peers is not None:
+            await self._peers.start()
         self.frontend.start()
         if self._observer is not None:
             self._observer.start(lambda: [each.name for each in self._balancer.ejected])
@@ -200,6 +209,8 @@
         if self._observer is not None:
             self._observer.stop()
         self._discovery.stop()
+        if self._peers is not None:
+            self._peers.stop()
         await self._nodes.close()
 
     def move_discovery(self, address: Address) -> None:
@@ -409,6 +420,13 @@
         report = response.report if response is not None else None
         self.handle(ProbeEnded(server, outcome, self._clock.now() - sent_at, report))
 
+    def _tell(self, action: Tell) -> None:
+        if self._peers is not None:
+            self._peers.tell(action.receiver, action.payload)
+
+    def _message(self, sender: int, payload: bytes) -> None:
+        self.handle(MessageReceived(sender, payload))
+
     # -- Timers and the list --------------------------------------------------------------------------
 
     def _set_timer(self, action: SetTimer) -> None:
--- /dev/null
+++ b/topazbank/core/peers.py
@@ -0,0 +1,78 @@
+"""Short messages between the sidecars of a tier: UDP datagrams, late or never, where the platform gives an address."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+from topazbank.core.net import Address
+
+log = logging.getLogger(__name__)
+
+MESSAGE_MOST = 256  # bytes: the platform's limit; a longer one voids a run there
+
+
+@dataclass(frozen=True, slots=True)
+class Tier:
+    """Where the sidecars of a tier hear one another."""
+
+    listen: Address  # where this one's messages come in, and from where its own leave
+    members: tuple[Address, ...] = ()  # by number, the own one among them
+    all: Address | None = None  # one address that reaches every other
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Sends and hears messages; what can't be sent is lost, as any datagram may be."""
+
+    def __init__(self, tier: Tier, heard: Callable[[int, bytes], None]) -> None:
+        """`heard` takes the sender's number and the message."""
+        self._tier = tier
+        self._numbers = {address: number for number, address in enumerate(tier.members)}
+        self._heard = heard
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self) -> None:
+        """Listen; without the address messages are not carried, and one line says so."""
+        try:
+            await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: self, local_addr=self._tier.listen
+            )
+        except OSError as fault:
+            log.error("no messages between sidecars: %s:%d: %s", *self._tier.listen, fault)
+
+    def stop(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def tell(self, receiver: int | None, payload: bytes) -> None:
+        """Send to the sidecar of this number, or to all others (None)."""
+        if self._transport is None or len(payload) > MESSAGE_MOST:
+            return
+        addresses: tuple[Address, ...]
+        if receiver is not None:
+            known = 0 <= receiver < len(self._tier.members)
+            addresses = (self._tier.members[receiver],) if known else ()
+        elif self._tier.all is not None:
+            addresses = (self._tier.all,)
+        else:
+            addresses = tuple(each for each in self._tier.members if each != self._tier.listen)
+        for address in addresses:
+            self._transport.sendto(payload, address)
+
+    # -- What asyncio calls ---------------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Its class is no subclass of DatagramTransport before Python 3.12.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        number = self._numbers.get((addr[0], addr[1]))
+        if number is not None and len(data) <= MESSAGE_MOST:  # what strangers send is not heard
+            self._heard(number, data)
+
+    def error_received(self, exc: Exception) -> None:
+        """A peer is down: its datagrams come back, and that is no matter."""
