--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -718,7 +718,7 @@
     def _rank(self, server: Server) -> tuple[int, float]:
         """Own requests in flight, then what all others are known to have there by how quick it is."""
         others = self._hearsay.held(server.tag) if self._hearsay is not None else 0
-        return self._busy(server), (others + 1) * max(server.pace, 1.0 / PACE_CLIP) / self._warmth(server)
+        return self._busy(server), (others + 1) * max(server.pace, 1.0 / PACE_CLIP)
 
     def _message_received(self, event: MessageReceived) -> None:
         if self._hearsay is not None and event.sender != self._settings.me:
