Cold servers are drawn by twice their least warmth

What is known of a cold server is the least it can do; it is mostly warmer, and its budget keeps it from being pushed over.

--- /dev/null
+++ b/tests/sight/test_cold_share.py
@@ -0,0 +1,37 @@
+"""What servers that came back cold are given beside warm ones, where every counter is zero."""
+
+from __future__ import annotations
+
+from helpers import MS, S, Stage, names, settings
+
+from topazbank.interface import ListedServer
+
+
+def test_servers_that_are_half_warm_are_given_near_half_of_what_warm_ones_get() -> None:
+    # Guards against a zone that came back and stands idle: ties and odds both went against cold servers.
+    share = 0.0
+    seeds = 6
+    for seed in range(seeds):
+        stage = Stage(settings(), seed=seed)
+        warm = [ListedServer(name, "east") for name in names(8)]
+        stage.servers(warm)
+        stage.serve(200, every_us=20 * MS, taking_us=15 * MS)
+        cold = [ListedServer(f"10.0.1.{each}:80", "east", started_at=stage.now) for each in range(8)]
+        stage.servers([*warm, *cold])
+        stage.wait(2 * S)
+        since = stage.now
+        stage.serve(300, every_us=20 * MS, taking_us=15 * MS)  # warmth goes from 0.36 to 0.84
+        sent = [each.server for at, each in stage.sends() if at >= since]
+        to_cold = sum(each.startswith("10.0.1.") for each in sent)
+        share += to_cold / (len(sent) - to_cold) / seeds
+    assert share >= 0.45
+
+
+def test_ties_count_what_others_hold_there_by_pace_and_not_by_warmth() -> None:
+    stage = Stage()
+    stage.servers([ListedServer("10.0.1.1:80", "east", started_at=stage.now), *names(1)])
+    cold, warm = stage.balancer._servers["10.0.1.1:80"], stage.balancer._servers[names(1)[0]]
+    assert stage.balancer._rank(cold) == stage.balancer._rank(warm)
+    assert stage.balancer._odds(cold, 1.0) < stage.balancer._odds(warm, 1.0)
+    stage.wait(4 * S)  # warmth 0.52: as likely as a warm one
+    assert stage.balancer._odds(cold, 1.0) == stage.balancer._odds(warm, 1.0)
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -75,6 +75,9 @@
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
 COLD_SHARE = 0.4  # part of the pushing-over load at which a cold budget fills: about what its warmth can bear
 COLD_BURST = 0.18  # part of that load that may come at once
+COLD_ODDS = (
+    2.0  # drawn by this many times its least warmth: a server is mostly warmer, and its budget guards it
+)
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
@@ -793,7 +796,11 @@
         """
         near = 1.0 if server.zone == self._settings.zone else self._remote
         pace = math.pow(max(server.pace, 1.0 / PACE_CLIP), power)
-        return near / pace if server.cold_since is None else near * self._warmth(server) / pace
+        return (
+            near / pace
+            if server.cold_since is None
+            else near * min(COLD_ODDS * self._warmth(server), 1.0) / pace
+        )
 
     def _weigh_zones(self) -> float:
         """Odds of servers in other zones: less while the own zone is as quick as theirs.
