Where no news comes one request is let in, and ghosts count no longer than a jam lasts

From 14.3 to 16.5 s it refused every request, so no verdict came and nothing could change (Balancer._overloaded_for, _load). Now a request that would be refused is let in when no verdict came for a quarter of the longest aim, and for the window attempts given up on count for one aim at most.

--- a/tests/sight/test_strain.py
+++ b/tests/sight/test_strain.py
@@ -109,6 +109,23 @@
     assert strain.excess() == -1.0
 
 
+def test_without_news_a_request_now_and_then_is_let_in_to_bring_some() -> None:
+    # Guards against a belief that nothing can correct: who refuses all hears nothing.
+    strain = Strain(AIM)
+    now = _send_and_answer(strain, 0, 100, 20 * MS, None)
+    asked = [strain.asks_for_news(at) for at in range(now + 600 * MS, now + 2600 * MS, 10 * MS)]
+    assert 7 <= sum(asked) <= 9  # four a second
+
+
+def test_while_news_comes_nothing_is_let_in_for_its_sake() -> None:
+    strain = Strain(AIM)
+    now = 0
+    for _ in range(100):
+        now = _send_and_answer(strain, now, 1, 20 * MS, None)
+        strain.answered(now, strain.sent(now, AIM, 0.0))
+        assert not strain.asks_for_news(now)
+
+
 def test_what_waits_for_a_verdict_is_bounded() -> None:
     strain = Strain(AIM)
     for each in range(UNJUDGED_MOST + 100):
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -254,6 +254,24 @@
     assert len(stage.said(Refuse)) == refused
 
 
+def test_a_window_held_shut_by_attempts_given_up_on_lets_some_in_all_the_same() -> None:
+    # Guards against a balancer whose whole window is taken by ghosts: it refused all for seconds, and heard nothing.
+    stage = Stage()
+    stage.serve(1)
+    _overload(stage, 200)
+    for request in list(stage.balancer._requests.values()):
+        for attempt in request.attempts:
+            if attempt.pending:
+                stage.end(request.ident, Outcome.CANCELLED, attempt.index, answered=True)
+    stage.balancer._window = 2.0
+    since = stage.now
+    for _ in range(50):
+        stage.wait(20 * MS)
+        stage.request("pay")
+    sent = [at for at, _ in stage.sends() if at >= since]
+    assert sent and sent[0] <= since + 300 * MS
+
+
 def test_a_quiet_fleet_is_never_refused() -> None:
     stage = Stage()
     stage.servers(names(4))
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -650,7 +650,7 @@
         if fill < 1.0 and self._random.random() < let_in:
             return False
         self._bound = True
-        return True
+        return not self._strain.asks_for_news(self._now)  # who refuses all hears nothing of the end of a jam
 
     def _sheds_by_count(self, standing: float) -> bool:
         """Whether to refuse where few requests come: by counts over a fixed time, so that relief is seen."""
@@ -1055,7 +1055,8 @@
             until = self._now + int(GHOST_LIFE * event.elapsed_us)
             attempt.server.ghosts.append(until)
             if attempt.server.ejected_until is None:
-                heapq.heappush(self._ghosts, until)
+                # What all servers hold is never older than a jam lasts; its own server may be stuck for longer.
+                heapq.heappush(self._ghosts, min(until, self._now + self._longest_aim))
             if event.elapsed_us > self._usual(request) * attempt.server.pace and not self._is_behind():
                 self._pace(attempt.server, request, event.elapsed_us)
         if event.outcome is Outcome.ERROR:
--- a/topazbank/sight/strain.py
+++ b/topazbank/sight/strain.py
@@ -18,6 +18,7 @@
 MEDIAN_STEP_MOST = 0.16  # where few come: a single answer is chance for a good part
 LATE_STEP = 0.02  # of the last fifty answers or so
 LATE_STEP_MOST = 0.04  # where few come: what is late evens out the zones, and chance would do so too
+ASK_AIMS = 0.25  # without news for this many of the longest aim, one request is let in to bring some
 NEWS_AIMS = 1.0  # what was learnt this many of the longest aim ago is old, however few answers came since
 LEVEL = 0.3  # the typical answer may take this part of its aim; beyond that the fleet is overloaded
 LEVEL_FEW = 0.4  # or this, where so few are in flight that much of the median is chance
@@ -57,17 +58,17 @@
 class Fading:
     """A share of verdicts that follows the time since the last one."""
 
-    __slots__ = ("_at", "_span_us", "count", "share")
+    __slots__ = ("_span_us", "at", "count", "share")
 
     def __init__(self, span_us: float) -> None:
         self._span_us = span_us
-        self._at = 0
+        self.at = 0  # when the last one came
         self.count = 0  # so far
         self.share = 0.0
 
     def add(self, now: int, verdict: float) -> None:
-        news = min((now - self._at) / self._span_us, OVER_STEP_MOST)
-        self._at = now
+        news = min((now - self.at) / self._span_us, OVER_STEP_MOST)
+        self.at = now
         self.count += 1
         self.share += max(OVER_STEP, news) * (verdict - self.share)
 
@@ -76,6 +77,7 @@
     """What answers tell of the fleet's load.  Times of answers are in parts of their aim."""
 
     __slots__ = (
+        "_asked_at",
         "_felt_at",
         "_hopeless",
         "_over",
@@ -91,6 +93,7 @@
     def __init__(self, longest_aim_us: int) -> None:
         self._span_us = NEWS_AIMS * longest_aim_us
         self._felt_at = 0
+        self._asked_at = 0  # when a request was last let in for its news alone
         self._waiting: dict[int, deque[Verdict]] = {}  # by aim, in the order sent
         self._slow: dict[int, deque[Verdict]] = {}  # of these, those that took too long already
         self._over = Fading(self._span_us)  # part of the attempts that take longer than the level
@@ -137,6 +140,13 @@
                     self._hopeless.add(now, 1.0)
         return self._over.count + self._hopeless.count > before
 
+    def asks_for_news(self, now: int) -> bool:
+        """Whether a request that would be refused is let in, since no verdict has come for long; says so once."""
+        if now - max(self._over.at, self._asked_at) < ASK_AIMS * self._span_us / NEWS_AIMS:
+            return False
+        self._asked_at = now
+        return True
+
     def excess(self) -> float:
         """How far the fleet is beyond what is bearable: 1 when no attempt is answered in time, -1 when all are."""
         return (self._over.share - OVER_BORNE) / OVER_BORNE
