--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -78,6 +78,7 @@
 COLD_ODDS = (
     2.0  # drawn by this many times its least warmth: a server is mostly warmer, and its budget guards it
 )
+FRESH_COST = 1.5  # in ties a server where a connection must be opened counts as so much slower, where that is priced
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
@@ -724,7 +725,8 @@
     def _rank(self, server: Server) -> tuple[int, float]:
         """Own requests in flight, then what all others are known to have there by how quick it is."""
         others = self._hearsay.held(server.tag) if self._hearsay is not None else 0
-        return self._busy(server), (others + 1) * max(server.pace, 1.0 / PACE_CLIP)
+        fresh = FRESH_COST if self._connecting > 0.0 and not server.idle else 1.0
+        return self._busy(server), (others + 1) * max(server.pace, 1.0 / PACE_CLIP) * fresh
 
     def _message_received(self, event: MessageReceived) -> None:
         if self._hearsay is not None and event.sender != self._settings.me:
