--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -41,6 +41,7 @@
     "sight/fading.py",
     "sight/hearsay.py",
     "sight/strain.py",
+    "sight/traffic.py",
 )
 LIMIT_S = 600.0  # of the compiler's: it takes a minute and a half of CPU, over all cores
 # Run in the copy's folder.  A C file for each module, all of them compiled side by side: one file for all took one core
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -54,6 +54,7 @@
 from topazbank.sight.fading import Fit, Rate
 from topazbank.sight.hearsay import Hearsay, tag_of
 from topazbank.sight.strain import Borne, Strain, Verdict
+from topazbank.sight.traffic import Traffic
 
 # -- Constants: ratios of what the settings give or of what was observed ------------------------------
 
@@ -78,7 +79,9 @@
 COLD_ODDS = (
     2.0  # drawn by this many times its least warmth: a server is mostly warmer, and its budget guards it
 )
-FRESH_COST = 1.5  # in ties a server where a connection must be opened counts as so much slower, where that is priced
+FRESH_COST = (
+    1.5  # in ties a server where a connection must be opened counts as so much slower, where that is priced
+)
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
@@ -123,7 +126,6 @@
 WINDOW_AIMS = 0.5  # at twice the level the window shrinks e-fold in this many of the longest aim
 REOPEN_AIMS = 0.2  # and while all is answered in time it grows e-fold in this many
 GROWTH_MOST = 1.5  # by one verdict: a single one may be chance
-MIX_AIMS = 4.0  # what is asked by class and tenant is averaged over this many of the longest aim
 FREE = 0.5  # up to this part of the window all are let in, and the window does not grow
 STEEP = 4.0  # pressure at a full window: of the typical requests one in fifty is let in
 SLANT = 2.0  # the least worthy feel this many times the pressure, the most worthy almost none
@@ -237,8 +239,7 @@
         self._guide = guide
         self._random = random.Random(seed)
         self._classes = {each.name: each for each in settings.classes}
-        self._tenants = {each.name: each for each in settings.tenants}
-        self._all_shares = sum(each.share for each in settings.tenants) or 1.0
+        self._traffic = Traffic(settings)
         self._longest_aim = max(each.aim_us for each in settings.classes)
         self._now = 0
         self._actions: list[Action] = []
@@ -306,7 +307,6 @@
         self._bound = False  # whether the window refused anything since it was last sized
         self._mean_load, self._load_at = 0.0, 0  # own requests in flight, averaged, and when
         self._sized_at = self._sized_from = 0
-        self._mix: dict[tuple[str, str | None], Mix] = {}
         self._take: dict[type[Any], Callable[[Any], None]] = {
             AttemptEnded: self._attempt_ended,
             RequestArrived: self._request_arrived,
@@ -634,21 +634,17 @@
         Guards against collapse: a fleet that answers all too late serves nobody, and clients repeat
         what fails late.  As the window fills, the part let in falls by powers, sooner for the less worthy.
         """
-        kind = request.kind
-        mine = self._mix.get((kind.name, tenant))
-        if mine is None:
-            mine = self._mix[(kind.name, tenant)] = Mix(kind, tenant, Rate(MIX_AIMS * self._longest_aim))
-        mine.rate.add(self._now, 1.0)
+        mine = self._traffic.asked(self._now, request.kind, tenant)
         if self._probes > 1:
-            request.standing = self._standing(mine)
+            request.standing = self._traffic.standing(self._now, mine)
             return False  # probes will tell
         if max(self._arrivals.per_us(self._now) * self._longest_aim, self._load()) < MANY / 2:
-            return self._sheds_by_count(self._standing(mine))
+            return self._sheds_by_count(self._traffic.standing(self._now, mine))
         fill = self._fill()
         if fill <= FREE:
             return False
         pressure = STEEP * (fill - FREE) / (1.0 - FREE)
-        let_in = math.exp(-SLANT * pressure * (1.0 - self._standing(mine)))
+        let_in = math.exp(-SLANT * pressure * (1.0 - self._traffic.standing(self._now, mine)))
         if fill < 1.0 and self._random.random() < let_in:
             return False
         self._bound = True
@@ -668,31 +664,6 @@
             return True
         return False
 
-    def _standing(self, mine: Mix) -> float:
-        """The part of the traffic that is worth less, counting half of what is worth the same.
-
-        A request is worth what its class is, less what its tenant asks beyond its share.  Sidecars see
-        different parts of the traffic, so only the tenants' proportions are compared.
-        """
-        mixes = list(self._mix.values())
-        rates = [each.rate.per_us(self._now) for each in mixes]
-        all_asked = sum(rates)
-        asked: dict[str | None, float] = {}
-        for each, rate in zip(mixes, rates, strict=True):
-            asked[each.tenant] = asked.get(each.tenant, 0.0) + rate
-        worths = [self._worth(each, asked[each.tenant], all_asked) for each in mixes]
-        own = worths[mixes.index(mine)]
-        below = sum(rate for rate, worth in zip(rates, worths, strict=True) if worth < own)
-        same = sum(rate for rate, worth in zip(rates, worths, strict=True) if worth == own)
-        return (below + 0.5 * same) / all_asked if all_asked > 0.0 else 0.5
-
-    def _worth(self, mix: Mix, asked: float, all_asked: float) -> float:
-        tenant = self._tenants.get(mix.tenant or "")
-        if tenant is None or asked <= 0.0:
-            return mix.kind.worth
-        inside = min(1.0, all_asked * tenant.share / self._all_shares / asked)
-        return mix.kind.worth * (inside + (1.0 - inside) * self._settings.over_share_worth)
-
     # -- The draw -------------------------------------------------------------------------------------
 
     def _choose(self, request: Request) -> tuple[Server | None, list[Server]]:
@@ -1339,12 +1310,3 @@
 _ASK = -1  # the agenda's mark for discovery; requests are never negative
 _CONNECTED = (Outcome.DELIVERED, Outcome.ERROR, Outcome.FULL)  # the connection is still there after these
 _MAY_RUN_ON = (Outcome.EXPIRED, Outcome.DROPPED, Outcome.CANCELLED)  # the key rests after these
-
-
-@dataclass(slots=True, eq=False)
-class Mix:
-    """One tenant's traffic of one class."""
-
-    kind: ServiceClass
-    tenant: str | None
-    rate: Rate
