The window counts attempts whose aim is not past, and none that were given up on

Windows of two to five in flight were held by attempts stuck at servers ten times slower than the rest, out until their deadline at 2.6 s and counted for an aim more once given up on; the fleet stood idle meanwhile. What is past its aim counts at its own server alone (Balancer._busy), and for the window no longer.

--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -274,6 +274,20 @@
     assert any(at >= since for at, _ in stage.sends())
 
 
+def test_attempts_past_their_aim_count_no_more_for_what_all_servers_hold() -> None:
+    # Guards against a few attempts stuck at slow servers that fill a small window while the fleet stands idle.
+    stage = Stage()
+    stage.servers(names(8))
+    out = [stage.request("pay") for _ in range(6)]
+    assert stage.balancer._load() == 6
+    stage.wait(520 * MS)  # the aim is 500
+    assert stage.balancer._load() == 0
+    assert sum(stage.balancer._busy(each) for each in stage.balancer._servers.values()) == 6
+    for each in out:
+        stage.end(each)
+    assert stage.balancer._load() == 0
+
+
 def test_a_quiet_fleet_is_never_refused() -> None:
     stage = Stage()
     stage.servers(names(4))
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -154,6 +154,7 @@
     allowance: float = 0.0  # of a cold server: what may be sent to it now, in requests of mean cost
     allowance_at: int = 0
     in_flight: int = 0
+    young: int = 0  # of these, the ones whose aim is not past
     idle: int = 0  # connections that are open and carry nothing, by this balancer's own reckoning
     idle_since: int = 0
     close_due: int = 0  # when they are to be closed
@@ -180,6 +181,7 @@
     answers_before: int  # how many answers had come by then, from all servers
     verdict: Verdict  # on how long it takes
     pending: bool = True
+    young: bool = True  # out, and its aim not past
     may_have_run: bool = True  # until an outcome proves that it did not
     started: bool = False
     held: float | None = None  # what its server held when it was sent, by a probe
@@ -276,8 +278,7 @@
         self._failed_calls = 0
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
-        self._stuck = 0  # of these, at ejected servers
-        self._ghosts: list[int] = []  # when each attempt given up on stops counting, soonest first
+        self._young = 0  # attempts out whose aim is not past, at servers that are not ejected
         self.ejected: list[Server] = []
         self._remote = 1.0  # odds of a server in another zone, as of _remote_at
         self._remote_at = -1
@@ -439,7 +440,7 @@
         """A server that has gone is no longer ejected: it would keep others from that; nor kept for long."""
         if server.ejected_until is not None:
             self.ejected.remove(server)
-            self._stuck -= server.in_flight
+            self._young += server.young
             server.ejected_until = None
         if not self._busy(server) and server.probed_at is None:
             del self._servers[server.name], self._numbered[server.number]
@@ -615,13 +616,18 @@
         return self._able
 
     def _load(self) -> int:
-        """Own requests in flight, with those given up on, at servers that are not ejected.
+        """Own requests in flight whose aim is not past, at servers that are not ejected: a running count.
 
-        Running counts, not a sum over the list: it is asked for at every event.
+        What is late already tells of its own server.  Guards against a few stuck attempts that fill a small window.
         """
-        while self._ghosts and self._ghosts[0] <= self._now:
-            heapq.heappop(self._ghosts)
-        return self._pending - self._stuck + len(self._ghosts)
+        return self._young
+
+    def _age(self, attempt: Attempt) -> None:
+        """An attempt has ended, or its aim is past: it counts no more for what all servers hold."""
+        if attempt.young:
+            attempt.young = False
+            attempt.server.young -= 1
+            self._young -= attempt.server.ejected_until is None
 
     def _fill(self) -> float:
         """How much of the window is taken; where it holds few, the mean counts, as two at once are chance."""
@@ -941,11 +947,13 @@
         attempt = Attempt(len(request.attempts), server, self._now, self._absent_us, self._answers, verdict)
         request.attempts.append(attempt)
         server.in_flight += 1
+        server.young += 1
         server.idle = max(server.idle - 1, 0)
         self._pending += 1
-        if server.ejected_until is not None:
+        if server.ejected_until is None:
+            self._young += 1
+        else:
             server.trial = attempt
-            self._stuck += 1
         self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
         self._actions.append(Send(request.ident, server.name, request.answer_by))
         return True
@@ -1016,8 +1024,7 @@
             request.queue.rests_until = self._now + self._settings.rules.turn_gap_us
         attempt.server.in_flight -= 1
         self._pending -= 1
-        if attempt.server.ejected_until is not None:
-            self._stuck -= 1
+        self._age(attempt)
         if event.outcome in _CONNECTED:
             self._connection_idle(attempt.server)
         self._judge(request, attempt, event.outcome)
@@ -1028,9 +1035,6 @@
                 self._too_late.add(self._now, 1.0)
             until = self._now + int(GHOST_LIFE * event.elapsed_us)
             attempt.server.ghosts.append(until)
-            if attempt.server.ejected_until is None:
-                # What all servers hold is never older than a jam lasts; its own server may be stuck for longer.
-                heapq.heappush(self._ghosts, min(until, self._now + self._longest_aim))
             if event.elapsed_us > self._usual(request) * attempt.server.pace and not self._is_behind():
                 self._pace(attempt.server, request, event.elapsed_us)
         if event.outcome is Outcome.ERROR:
@@ -1117,7 +1121,9 @@
         waited = self._now - attempt.sent_at - (self._absent_us - attempt.absent_before)
         if waited < request.kind.aim_us:
             self._schedule(self._now + request.kind.aim_us - waited, request.ident, attempt.index)
-        elif not attempt.felt and server.ejected_until is None:
+        else:
+            self._age(attempt)
+        if waited >= request.kind.aim_us and not attempt.felt and server.ejected_until is None:
             # Late already, though no answer says so yet: waiting for one would see a surge too late.
             attempt.felt = True
             if self._strain.cores is not None and silent:
@@ -1174,7 +1180,7 @@
             if len(self.ejected) + 1 > most * min(len(self._ready), self._reach()):
                 return
             self.ejected.append(server)
-            self._stuck += server.in_flight
+            self._young -= server.young
             self._actions.append(Log(f"ejected {server.name}: {reason}"))
         aims = min(EJECT_AIMS * 2**server.ejections, EJECT_AIMS_MOST)
         server.ejections = min(server.ejections + 1, 8)
@@ -1184,7 +1190,7 @@
     def _readmit(self, server: Server) -> None:
         server.ejected_until = None
         self.ejected.remove(server)
-        self._stuck -= server.in_flight
+        self._young += server.young
         server.ejections = server.strikes = 0
         if server.cold_since is not None and server.cold_since != server.started_at:
             self._turned_cold(server, self._now)
