Own stalls are noticed in sight/stall.py

A refactoring that makes room in the decision module: whether this sidecar itself stood still is an input of the decisions, like strain and hearsay. Nothing else changes; the tests of stalls are the same.

--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -53,6 +53,7 @@
 )
 from topazbank.sight.fading import Fit, Rate
 from topazbank.sight.hearsay import Hearsay, tag_of
+from topazbank.sight.stall import Stall
 from topazbank.sight.strain import Borne, Strain, Verdict
 from topazbank.sight.traffic import Traffic
 
@@ -69,8 +70,6 @@
 LEAST_SIZE = 0.1  # of the mean: a nominal size of zero is junk
 FIT_CLIP = 3.0  # one answer counts for at most this many times what was expected: a jam is no rule
 FIT_FLOOR = 0.2  # but for this part of the aim at any rate
-BEAT_AIMS = 0.1  # while anything is out, a timer falls due this often, so that an own stall is noticed
-STALL_BEATS = 1.0  # a timer later than this many beats tells of a stall
 TRICKLE = 0.01  # part let in where probes tell of overload: what they foretell must stay checked
 PROBE_STEP = 0.1  # the usual probe time follows the last ten or so
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
@@ -269,11 +268,7 @@
         self._agenda: list[tuple[int, int, int, int]] = []
         self._agenda_order = 0
         self._timer_due: int | None = None
-        self._beat = max(int(BEAT_AIMS * min(each.aim_us for each in settings.classes)), settings.tick_us)
-        self._beat_due = 0  # when the next beat falls due, while anything is out
-        self._back_at = -1  # when this balancer last came back from a stall of its own
-        self._caught_up_at = -1  # and by when it has gone through what came meanwhile
-        self._absent_us = 0  # how long it has stalled, over all its stalls
+        self._stall = Stall(min(each.aim_us for each in settings.classes), settings.tick_us)
         self._begun = False
         self._failed_calls = 0
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
@@ -324,8 +319,8 @@
         self._now = now
         self._actions = []
         self._follow_load()
-        self._notice_stall(event)
-        if not self._is_behind() and self._strain.mature(now):
+        self._stall.notice(now, isinstance(event, TimerFired))
+        if not self._stall.behind and self._strain.mature(now):
             self._size_window(self._load())
         if not self._begun:
             self._begun = True
@@ -337,29 +332,10 @@
         self._arm_timer()
         return self._actions
 
-    def _notice_stall(self, event: Event) -> None:
-        """Notice that this balancer itself stood still: a timer of its own came far too late.
-
-        What it finds on its return came at times it cannot tell, so nothing is learned from them: else it
-        would take its own absence for slow servers, eject them and refuse what they could serve.  Going
-        through all that takes a while; as long as the stall is enough, and one with too little CPU stays so.
-        """
-        late = self._now - self._beat_due
-        if self._beat_due and late > STALL_BEATS * self._beat:
-            self._absent_us += late
-            self._back_at = self._now
-            self._caught_up_at = self._now + late + self._beat
-            self._beat_due = 0
-        elif late >= 0 and isinstance(event, TimerFired):
-            self._beat_due = 0  # by no other event: where they are many they come on time, and timers wait
-
-    def _is_behind(self) -> bool:
-        return self._now <= self._caught_up_at
-
     def _keep_beat(self) -> None:
-        if self._pending and not self._beat_due:
-            self._beat_due = self._now + self._beat
-            self._schedule(self._beat_due, _BEAT, _WHOLE)  # when it fires, it has done its work
+        if self._pending and not self._stall.beat_due:
+            self._stall.beat_due = self._now + self._stall.beat_us
+            self._schedule(self._stall.beat_due, _BEAT, _WHOLE)  # when it fires, it has done its work
 
     # -- The server list ------------------------------------------------------------------------------
 
@@ -480,7 +456,7 @@
         """
         longest = max(self._longest_try.get(kind.name, 0), remaining_us)
         self._longest_try[kind.name] = longest
-        return self._now == self._back_at and kind.late_worth <= 0.0 and longest - remaining_us >= kind.aim_us
+        return self._stall.back and kind.late_worth <= 0.0 and longest - remaining_us >= kind.aim_us
 
     def _relative_cost(self, kind: ServiceClass, cost_us: int | None) -> float:
         if not cost_us or cost_us < 0:
@@ -611,7 +587,7 @@
     def _capacity(self) -> float:
         """What the ready servers can do by now, nominally; looked at once a beat."""
         if self._now >= self._capacity_due:
-            self._capacity_due = self._now + self._beat
+            self._capacity_due = self._now + self._stall.beat_us
             self._able = sum(s.nominal * self._warmth(s) for s in self._ready if s.ejected_until is None)
         return self._able
 
@@ -682,7 +658,7 @@
             trial = self._guided(request, self._guide)
         if trial is not None:
             return trial, []
-        request.spread = request.spread or self._now == self._back_at
+        request.spread = request.spread or self._stall.back
         pool = self._within_reach(self._ready if request.spread else self._near, request)
         if len(pool) < 2 and not request.spread:
             request.spread = True
@@ -695,7 +671,7 @@
         odds = [self._odds(each, power) for each in pool]
         drawn = self._drawn(pool, odds, DRAWN << request.said_full)
         best = min(drawn, key=self._rank)
-        if self._probes > 1 and self._now != self._back_at:  # others that stalled with it would hear the same
+        if self._probes > 1 and not self._stall.back:  # others that stalled with it would hear the same
             return best, sorted(drawn, key=self._busy)[: self._probes]
         return best, []
 
@@ -713,7 +689,7 @@
         """Tell the other balancers what is in flight here, as often as that is worth its price."""
         if self._hearsay is None or not self._hearsay.due(self._now):
             return
-        if self._now - self._heard_at >= self._beat:
+        if self._now - self._heard_at >= self._stall.beat_us:
             self._heard_at = self._now
             self._hearsay.forget_old(self._now)
         told = self._hearsay.tell(self._now, [(s.tag, self._busy(s)) for s in self._servers.values()])
@@ -944,7 +920,9 @@
         if self._is_cold(server):
             server.allowance -= request.cost
         verdict = self._strain.sent(self._now, request.kind.aim_us, self._chance())
-        attempt = Attempt(len(request.attempts), server, self._now, self._absent_us, self._answers, verdict)
+        attempt = Attempt(
+            len(request.attempts), server, self._now, self._stall.absent_us, self._answers, verdict
+        )
         request.attempts.append(attempt)
         server.in_flight += 1
         server.young += 1
@@ -1035,7 +1013,7 @@
                 self._too_late.add(self._now, 1.0)
             until = self._now + int(GHOST_LIFE * event.elapsed_us)
             attempt.server.ghosts.append(until)
-            if event.elapsed_us > self._usual(request) * attempt.server.pace and not self._is_behind():
+            if event.elapsed_us > self._usual(request) * attempt.server.pace and not self._stall.behind:
                 self._pace(attempt.server, request, event.elapsed_us)
         if event.outcome is Outcome.ERROR:
             # A quick error must not look like a quick server: it counts as the slowest answer there is.
@@ -1044,7 +1022,7 @@
             self._served_aims.add(self._now, request.kind.aim_us)
             if event.elapsed_us <= request.kind.aim_us:
                 self._borne.served(self._now, request.kind.aim_us)
-        if event.outcome is Outcome.DELIVERED and not self._is_behind():
+        if event.outcome is Outcome.DELIVERED and not self._stall.behind:
             if attempt.held is not None:
                 expected = self._by_held.at(attempt.held)
                 most = LOST_SPENT if expected is None else max(FIT_CLIP * expected, FIT_FLOOR)
@@ -1114,11 +1092,11 @@
         """
         server = attempt.server
         silent, others = server.last_answer_at <= attempt.sent_at, self._answers - attempt.answers_before
-        if self._is_behind():
+        if self._stall.behind:
             # Its answer may be among what came meanwhile.
-            self._schedule(self._caught_up_at + self._settings.tick_us, request.ident, attempt.index)
+            self._schedule(self._stall.caught_up_at + self._settings.tick_us, request.ident, attempt.index)
             return
-        waited = self._now - attempt.sent_at - (self._absent_us - attempt.absent_before)
+        waited = self._now - attempt.sent_at - (self._stall.absent_us - attempt.absent_before)
         if waited < request.kind.aim_us:
             self._schedule(self._now + request.kind.aim_us - waited, request.ident, attempt.index)
         else:
@@ -1164,7 +1142,7 @@
         elif outcome in (Outcome.EXPIRED, Outcome.DROPPED, Outcome.DIAL_FAILED, Outcome.ERROR):
             if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
                 return  # it is slow, not sick: it answered others meanwhile
-            if outcome in (Outcome.EXPIRED, Outcome.DIAL_FAILED) and self._is_behind() and not trial:
+            if outcome in (Outcome.EXPIRED, Outcome.DIAL_FAILED) and self._stall.behind and not trial:
                 return  # this balancer was slow
             server.strikes += 1
             server.unreached = server.unreached + 1 if outcome is Outcome.DIAL_FAILED else 0
@@ -1291,7 +1269,7 @@
             server = self._numbered.get(what)
             return server is None or due != server.close_due or not server.idle
         if what in (_ASK, _BEAT):
-            return due != (self._ask_due if what == _ASK else self._beat_due)
+            return due != (self._ask_due if what == _ASK else self._stall.beat_due)
         request = self._requests.get(what)
         if request is None or request.answered:
             return True
