Lost zones cost one dial a server, error servers two errors, and starts ask how full servers are

When a zone is lost each sidecar spends three dials of 250 ms on each of its servers, and may eject only six tenths of what it draws from: 1,300 dials in 1.5 s, 330 requests refused after them (Balancer._judge, _eject).

Now: where a server was found out of reach within an aim, one failed dial ejects another that answered nothing since, up to six tenths of the whole list; two errors close by eject; keyed requests try where none is safe, and probes try what could not be reached; a sidecar that starts probes six servers and, where they are full, begins with its share of what they hold (sight/soundings.py; only where probes tell load and are too dear to be sent for each request).

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -41,6 +41,7 @@
     "msgpackrpc/upstream.py",
     "sight/fading.py",
     "sight/hearsay.py",
+    "sight/soundings.py",
     "sight/stall.py",
     "sight/strain.py",
     "sight/traffic.py",
--- /dev/null
+++ b/tests/sight/test_soundings.py
@@ -0,0 +1,110 @@
+"""What a sidecar learns by a few probes when it begins, and what the decision module makes of it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from helpers import MS, S, Stage, names, settings
+
+from topazbank.interface import ListedServer, ListKind, Outcome, Probe, ProbeEnded, Refuse
+from topazbank.sight.soundings import ASKED, Soundings, expected_us
+
+IDLE = {"inflight": 0.0, "queue": 0.0, "latency_ms": 60.0}
+FULL = {"inflight": 20.0, "queue": 16.0, "latency_ms": 100.0}  # four in work: five times as long as the work
+DEAR = {
+    "limits": {"may_probe": True},
+    "report": {"source": "probes", "columns": ["inflight", "queue", "latency_ms"]},
+    "prices": {"probe": 0.08},
+    "group_size": 40,
+}
+
+
+def begin(reports: dict[int, dict[str, float] | None], servers: int = 60, **changes: Any) -> Stage:
+    """A sidecar that begins with its last list; the nth probe ends with the nth report, None: it fails."""
+    stage = Stage(settings(**{**DEAR, **changes}))
+    stage.servers([ListedServer(each, "east") for each in names(servers)], ListKind.REMEMBERED)
+    for number, probe in enumerate(stage.said(Probe)):
+        report = reports.get(number)
+        stage.wait(MS)
+        outcome = Outcome.DIAL_FAILED if report is None else Outcome.DELIVERED
+        stage.play(ProbeEnded(probe.server, outcome, MS, report))
+    return stage
+
+
+def refused(stage: Stage, count: int = 30) -> int:
+    """How many of so many requests at once are turned away."""
+    for _ in range(count):
+        stage.wait(MS)
+        stage.request("look")
+    return len(stage.said(Refuse))
+
+
+def test_a_sidecar_that_begins_before_idle_servers_lets_all_in() -> None:
+    assert refused(begin(dict.fromkeys(range(ASKED), IDLE))) == 0
+
+
+def test_a_sidecar_that_returns_to_full_servers_does_not_let_all_in_until_answers_are_late() -> None:
+    stage = begin(dict.fromkeys(range(ASKED), FULL))
+    assert refused(stage) > 3
+    assert len(stage.sends()) > 3  # but its share of what the fleet holds
+
+
+def test_a_single_full_server_is_no_full_fleet() -> None:
+    assert refused(begin({0: FULL, 1: IDLE, 2: IDLE, 3: IDLE, 4: IDLE, 5: IDLE})) == 0
+
+
+def test_probes_that_all_fail_say_nothing_of_load() -> None:
+    assert refused(begin({})) == 0
+
+
+def test_no_more_than_a_few_probes_are_sent_whatever_comes_after() -> None:
+    stage = begin(dict.fromkeys(range(ASKED), IDLE))
+    for _ in range(5):
+        stage.servers([ListedServer(each, "east") for each in names(60)])
+        refused(stage)
+        stage.wait(2 * S)
+    assert len(stage.said(Probe)) == ASKED
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"limits": {"may_probe": False}},
+        {"group_size": 1},
+        {"report": {"source": "probes", "columns": ["inflight"]}},
+        {"report": {"source": "answers", "columns": ["inflight", "queue", "latency_ms"]}},
+    ],
+)
+def test_nothing_is_asked_where_nothing_may_be_learnt(changes: dict[str, Any]) -> None:
+    assert begin({}, **changes).said(Probe) == []
+
+
+def test_the_share_is_of_the_servers_that_are_there() -> None:
+    soundings = Soundings(settings(**DEAR))
+    soundings.begin(0)
+    for report in (FULL, FULL, FULL, None, None, None):
+        soundings.heard(report, 0.4)
+    assert soundings.fair_share(100 * MS, 60) == pytest.approx(20.0 * 30 / 40)
+
+
+def test_what_is_heard_long_after_the_start_is_the_windows_business() -> None:
+    soundings = Soundings(settings(**DEAR))
+    soundings.begin(0)
+    for _ in range(3):
+        soundings.heard(FULL, 0.4)
+    assert soundings.fair_share(3 * S, 60) is None
+
+
+@pytest.mark.parametrize(
+    ("report", "expected"),
+    [
+        (IDLE, 60_000.0),
+        (FULL, 500_000.0),
+        ({"inflight": 3.0}, None),
+        ({"inflight": 3.0, "queue": 9.0, "latency_ms": 10.0}, 100_000.0),  # junk, but no division by zero
+        ({"inflight": -1.0, "queue": 0.0, "latency_ms": 10.0}, None),
+    ],
+)
+def test_a_wait_is_worked_off_by_what_is_in_work(report: dict[str, float], expected: float | None) -> None:
+    assert expected_us(report) == expected
--- /dev/null
+++ b/tests/test_unreached.py
@@ -0,0 +1,175 @@
+"""Servers that can't be reached: a zone that is lost whole, and servers that are only full."""
+
+from __future__ import annotations
+
+from helpers import MS, S, Stage, names, settings
+
+from topazbank.interface import Log, Outcome, Probe, ProbeEnded
+
+KEYED = {
+    "name": "reserve",
+    "deadline_us": 3 * S,
+    "aim_us": 600 * MS,
+    "worth": 8,
+    "repeat": "keyed",
+    "group": "cell",
+    "memory_us": 6 * S,
+}
+UNSAFE = {"name": "invoice", "deadline_us": 3 * S, "aim_us": 1200 * MS, "worth": 5, "repeat": "unsafe"}
+
+
+def lose(stage: Stage, lost: set[str], rounds: int) -> dict[str, int]:
+    """Serve requests; those to the lost servers can't connect.  Gives the dials that failed, for each of them."""
+    dials: dict[str, int] = {}
+    for _ in range(rounds):
+        stage.wait(40 * MS)
+        request, ended = stage.request("pay"), 0
+        while len(stage.sends(request)) > ended:
+            ended = len(stage.sends(request))
+            target = stage.target(request)
+            stage.wait(50 * MS)
+            if target in lost:
+                dials[target] = dials.get(target, 0) + 1
+                stage.end(request, Outcome.DIAL_FAILED, answered=False)
+            else:
+                stage.end(request)
+    return dials
+
+
+def ejected(stage: Stage) -> list[str]:
+    return [each.text.split()[1].rstrip(":") for each in stage.said(Log) if each.text.startswith("ejected")]
+
+
+def test_of_a_zone_that_is_lost_one_dial_a_server_is_enough_once_it_is_noticed() -> None:
+    stage = Stage()
+    stage.servers(names(20))
+    stage.serve(200, name="pay")
+    lost = {each.name for each in stage.balancer._ready[:10]}  # in the order in which they are drawn from
+    dials: dict[str, int] = {}
+    while not ejected(stage):
+        for name, count in lose(stage, lost, 1).items():
+            dials[name] = dials.get(name, 0) + count
+    untouched = lost - dials.keys()
+    for name, count in lose(stage, lost, 40).items():
+        dials[name] = dials.get(name, 0) + count
+    found = [name for name in untouched if name in dials]
+    assert len(found) >= 2
+    assert [dials[name] for name in found] == [1] * len(found)
+    assert set(found) <= set(ejected(stage))
+
+
+def test_one_failed_dial_alone_ejects_nobody() -> None:
+    stage = Stage()
+    stage.servers(names(4))
+    stage.serve(60, name="pay")
+    stage.wait(40 * MS)
+    request = stage.request("pay")
+    stage.wait(250 * MS)
+    stage.end(request, Outcome.DIAL_FAILED, answered=False)
+    assert not stage.said(Log)
+
+
+def test_a_full_server_that_answers_others_is_not_ejected_for_a_refused_connection() -> None:
+    """Another server is out of reach just now; this one answers on the connections that it has."""
+    stage = Stage()
+    stage.servers(names(6))
+    stage.serve(120, name="pay")
+    lose(stage, {names(1)[0]}, 60)
+    stage.wait(2 * S)
+    before = len(stage.said(Log))
+    lose(stage, {names(1)[0]}, 0)
+    stage.balancer._cut_off_at = stage.now
+    first, second = stage.request("pay"), stage.request("pay")
+    full = stage.target(first)
+    while stage.target(second) != full:
+        second = stage.request("pay")
+    stage.wait(5 * MS)
+    stage.end(first)
+    stage.end(second, Outcome.DIAL_FAILED, answered=False)
+    assert len(stage.said(Log)) == before
+
+
+def test_where_no_request_may_try_a_lost_server_a_probe_does() -> None:
+    stage = Stage(settings(classes=[KEYED, UNSAFE], limits={"may_probe": True}, prices={"probe": 0.08}))
+    stage.servers(names(8))
+    stage.serve(100, name="invoice")
+    server = stage.balancer._ready[0]
+    lost, server.unreached = server.name, 1
+    stage.balancer._now = stage.now
+    stage.balancer._eject(server, "dial_failed")
+    stage.balancer._turned_cold(server, stage.now)
+    assert server.ejected_until is not None
+    for _ in range(120):
+        stage.wait(50 * MS)
+        request = stage.request("invoice")
+        assert stage.target(request) != lost or server.ejected_until is None
+        stage.wait(40 * MS)
+        stage.end(request)
+        if stage.said(Probe):
+            break
+    (probe,) = stage.said(Probe)
+    assert probe.server == lost
+    stage.play(ProbeEnded(lost, Outcome.DIAL_FAILED, 250 * MS))
+    assert server.ejected_until > stage.now  # longer out, and tried again later
+    for _ in range(400):
+        stage.wait(50 * MS)
+        request = stage.request("invoice")
+        stage.wait(40 * MS)
+        stage.end(request)
+        if len(stage.said(Probe)) > 1:
+            break
+    stage.play(ProbeEnded(lost, Outcome.DELIVERED, MS, {}))
+    assert server.ejected_until is None
+    assert stage.balancer._is_cold(server)  # it may be another process by now
+
+
+def test_a_server_that_errs_often_and_answers_between_is_left_after_two_errors_or_so() -> None:
+    stage = Stage()
+    stage.servers(names(6))
+    stage.serve(200, name="pay")
+    bad = stage.balancer._ready[0].name
+    met = errors = 0
+    for _ in range(30):
+        stage.wait(40 * MS)
+        burst = [stage.request("pay") for _ in range(6)]  # as many as there are servers
+        stage.wait(30 * MS)
+        for request in burst:
+            met += stage.target(request) == bad
+            if stage.target(request) == bad and met % 3:
+                errors += 1
+                stage.end(request, Outcome.ERROR, answered=False)
+            else:
+                stage.end(request)
+    assert errors == 2
+    assert ejected(stage) == [bad]
+
+
+def test_rare_errors_among_many_answers_eject_nobody() -> None:
+    stage = Stage()
+    stage.servers(names(4))
+    for number in range(400):
+        stage.wait(40 * MS)
+        request = stage.request("pay")
+        stage.wait(30 * MS)
+        stage.end(request, Outcome.ERROR if number % 40 == 39 else Outcome.DELIVERED, answered=False)
+    assert ejected(stage) == []
+
+
+def test_where_nothing_is_safe_to_repeat_a_keyed_request_tries_a_server_that_erred() -> None:
+    stage = Stage(settings(classes=[KEYED, UNSAFE]))
+    stage.servers(names(6))
+    stage.serve(100, name="invoice")
+    server = stage.balancer._ready[0]
+    server.erred = 2.0
+    stage.balancer._now = stage.now
+    stage.balancer._eject(server, "error")
+    stage.wait(5 * S)
+    unsafe = stage.request("invoice")
+    assert stage.target(unsafe) != server.name
+    trial = stage.request("reserve", key=1)
+    assert stage.target(trial) == server.name
+    again = stage.request("reserve", key=2)
+    assert stage.target(again) != server.name  # one at a time
+    stage.wait(20 * MS)
+    stage.end(trial)
+    assert server.ejected_until is None
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -53,6 +53,7 @@
 )
 from topazbank.sight.fading import Fit, Rate
 from topazbank.sight.hearsay import Hearsay, tag_of
+from topazbank.sight.soundings import Soundings, can_tell
 from topazbank.sight.stall import Stall
 from topazbank.sight.strain import Borne, Strain, Verdict
 from topazbank.sight.traffic import Traffic
@@ -75,11 +76,9 @@
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
 COLD_SHARE = 0.4  # part of the pushing-over load at which a cold budget fills: about what its warmth can bear
 COLD_BURST = 0.18  # part of that load that may come at once
-COLD_ODDS = (
-    2.0  # drawn by this many times its least warmth: a server is mostly warmer, and its budget guards it
-)
+COLD_ODDS = 2.0  # drawn by this many times its least warmth: it is mostly warmer, and its budget guards it
 FRESH_COST = (
-    1.5  # in ties a server where a connection must be opened counts as so much slower, where that is priced
+    1.5  # where opening a connection is priced, a server without one counts as so much slower in ties
 )
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
@@ -91,6 +90,8 @@
 EXTRA_PER_REQUEST = 0.2  # further attempts after failures, for each first attempt: no retry storms
 EXTRA_SAVED = 50.0  # first attempts whose allowance may be saved up
 STRIKES = 3  # failures in a row, none answered between, that eject a server: networks break a few by chance
+ERRED = 1.6  # errors that eject a server, each counting less with each answer since: two close by
+ERRED_KEPT = 0.7  # of an error's count, with each answer
 EJECT_AIMS = 2.0  # first ejection lasts this many of the longest aim; it doubles with each failed trial
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
 SILENT_MOST = 0.34  # no more than this share is ejected for silence alone: more is overload, not sickness
@@ -163,6 +164,7 @@
     last_answer_at: int = -1
     strikes: int = 0
     unreached: int = 0  # failed dials in a row
+    erred: float = 0.0  # errors of late
     ejections: int = 0
     ejected_until: int | None = None  # None: not ejected
     turned_away: dict[Flow, tuple[int, int]] = field(default_factory=dict)  # until when, how often in a row
@@ -258,6 +260,9 @@
         self._by_held = Fit()  # part of its aim that an answer takes, by what the server held for its size
         self._probe_time = math.inf  # the usual time of a probe; at first it is not known
         self._probes = self._probes_a_request()
+        # Trials are with requests that may be repeated; else with keyed ones, and with probes where a dial would fail.
+        self._tries_safely = any(each.repeat is Repeat.SAFE for each in settings.classes)
+        self._soundings = Soundings(settings) if self._probes <= 1 and can_tell(settings) else None
         self._crossing = CROSS_GAIN * settings.prices.cross_zone
         self._connecting = CROSS_GAIN * settings.prices.handshake
         self._near_first = self._probes > 1 and self._crossing >= CROSS_LEAST
@@ -281,6 +286,7 @@
         self._mean_size = 1.0
         self._bearable_at = -1
         self._answers = 0  # answers so far, from all servers
+        self._cut_off_at = -self._longest_aim - 1  # when a server was last found out of reach
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
         self._longest_try: dict[str, int] = {}  # the most time left that a request of a class came with
         self._mean_cost: dict[str, float] = {}
@@ -296,10 +302,7 @@
         self._served_aims = Rate(self._longest_aim)  # time allowed to what was answered, per time
         span = SPARSE_AIMS * self._longest_aim
         self._in_time, self._too_late, self._shed = Rate(span), Rate(span), Rate(span)
-        self._able, self._capacity_due = (
-            0.0,
-            0,
-        )  # what the ready servers can do, and when it is looked at again
+        self._able, self._capacity_due = 0.0, 0  # what ready servers can do, and when that is looked at again
         self._bound = False  # whether the window refused anything since it was last sized
         self._mean_load, self._load_at = 0.0, 0  # own requests in flight, averaged, and when
         self._sized_at = self._sized_from = 0
@@ -371,6 +374,9 @@
         if event.kind is not ListKind.CHANGES:
             missing = self._servers.keys() - {line.server for line in event.servers}
             touched += [self._server_listed(ListedServer(name, state=ServerState.GONE)) for name in missing]
+        if self._soundings is not None and self._ready:
+            for server in self._ready[: self._soundings.begin(self._now)]:
+                self._probe(server)
         mean_size = self._ready_size / max(len(self._ready), 1)
         self._gone = []
         for server in dict.fromkeys(touched):
@@ -523,7 +529,7 @@
     def _feel(self, spent: float) -> None:
         """Follow how much of its aim the typical answer takes, and size the window by it."""
         (self._in_time if spent <= 1.0 else self._too_late).add(self._now, 1.0)
-        if self._strain.floor is None:
+        if self._strain.floor is None and self._window == math.inf:
             self._sized_from = self._now + int(NEW_AIMS * self._longest_aim)
         load = self._load()
         self._strain.feel(self._now, spent, load <= FREE * self._window)
@@ -811,8 +817,7 @@
         self._asking[request.ident] = request
         for server in tied:
             if server.probed_at is None:
-                server.probed_at = self._now
-                self._actions.append(Probe(server.name))
+                self._probe(server)
         self._schedule(request.asked_until, request.ident, _ASKED)
 
     def _probe_ended(self, event: ProbeEnded) -> None:
@@ -820,6 +825,10 @@
         if server is None:
             return
         server.probed_at = server.reported = None
+        if server.ejected_until is not None and event.outcome in (Outcome.DELIVERED, Outcome.DIAL_FAILED):
+            self._readmit(server) if event.outcome is Outcome.DELIVERED else self._eject(server, "unreached")
+        if self._soundings is not None:
+            self._sounded(self._soundings, event.report)
         if event.outcome is Outcome.DELIVERED:
             usual = self._probe_time if self._probe_time < math.inf else float(event.elapsed_us)
             self._probe_time = usual + PROBE_STEP * (event.elapsed_us - usual)
@@ -828,6 +837,15 @@
             if all(each.probed_at is None for each in request.asked):
                 self._settle(request)
 
+    def _sounded(self, soundings: Soundings, report: Mapping[str, float] | None) -> None:
+        """Begin with a fair share of what the fleet holds where it is full already, not with all that comes."""
+        soundings.heard(report, self._strain.level(1.0))
+        share = soundings.fair_share(self._now, len(self._ready))
+        if share is not None and self._window == math.inf:
+            self._window = max(share, 1.0)
+            self._sized_at = self._sized_from = self._now
+            self._strain.pressed(self._now)
+
     def _settle(self, request: Request) -> None:
         """Send a request whose probes are back, or were waited for long enough, to the least loaded."""
         self._asking.pop(request.ident, None)
@@ -1133,6 +1151,7 @@
             server.trial = None
         if outcome is Outcome.DELIVERED:
             server.strikes = server.unreached = 0
+            server.erred *= ERRED_KEPT
             server.last_answer_at = self._now
             self._answers += 1
             if not self._is_cold(server):
@@ -1145,17 +1164,32 @@
             if outcome in (Outcome.EXPIRED, Outcome.DIAL_FAILED) and self._stall.behind and not trial:
                 return  # this balancer was slow
             server.strikes += 1
+            server.erred += outcome is Outcome.ERROR
             server.unreached = server.unreached + 1 if outcome is Outcome.DIAL_FAILED else 0
-            if trial or (server.strikes >= STRIKES and server.ejected_until is None):
+            struck = server.strikes >= self._strikes(attempt) or server.erred >= ERRED
+            if trial or (struck and server.ejected_until is None):
                 self._eject(server, outcome.value)
-                if server.unreached >= (1 if trial else STRIKES):  # broken connections alone prove nothing
+                if server.unreached >= (1 if trial else self._strikes(attempt)):  # what broke proves nothing
+                    self._cut_off_at = self._now
                     self._turned_cold(server, self._now)  # its process may come back before the list says so
 
+    def _strikes(self, attempt: Attempt) -> int:
+        """Failures in a row that eject a server.
+
+        Where another was found out of reach just now, one is enough: zones are lost whole, and three dials for
+        each of their servers from each balancer are hundreds of requests.  Not of a server that answers others: it
+        is full.
+        """
+        alike = self._now - self._cut_off_at <= self._longest_aim
+        lost = attempt.server.unreached > 0 and attempt.server.last_answer_at <= attempt.sent_at
+        return 1 if alike and lost else STRIKES
+
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.state is ServerState.GONE:
             return
         if server.ejected_until is None:
-            if len(self.ejected) + 1 > most * min(len(self._ready), self._reach()):
+            known = len(self._ready) if server.unreached else min(len(self._ready), self._reach())
+            if len(self.ejected) + 1 > most * known:
                 return
             self.ejected.append(server)
             self._young -= server.young
@@ -1170,17 +1204,28 @@
         self.ejected.remove(server)
         self._young += server.young
         server.ejections = server.strikes = 0
+        server.erred = 0.0
         if server.cold_since is not None and server.cold_since != server.started_at:
             self._turned_cold(server, self._now)
         self._actions.append(Log(f"readmitted {server.name}"))
 
     def _trial_due(self, request: Request) -> Server | None:
         """An ejected server comes back by one trial at a time, with a request that may be repeated."""
-        if request.kind.repeat is not Repeat.SAFE or request.attempts:
+        if request.attempts or not self.ejected:
             return None
         due = (each for each in self.ejected if self._now >= (each.ejected_until or 0) and not each.trial)
-        fit = (s for s in due if s.state is ServerState.READY and self._cold_room(s, request.cost))
-        return next(fit, None)
+        fit = [s for s in due if s.state is ServerState.READY and self._cold_room(s, request.cost)]
+        if self._settings.limits.may_probe and not self._tries_safely:
+            lost = [each for each in fit if each.unreached]
+            if lost and lost[0].probed_at is None:
+                self._probe(lost[0])  # its answer brings the server back
+            fit = [each for each in fit if not each.unreached]
+        repeat = Repeat.SAFE if self._tries_safely else Repeat.KEYED
+        return fit[0] if fit and request.kind.repeat is repeat else None
+
+    def _probe(self, server: Server) -> None:
+        server.probed_at = self._now
+        self._actions.append(Probe(server.name))
 
     # -- Slow start -----------------------------------------------------------------------------------
 
--- a/topazbank/sight/strain.py
+++ b/topazbank/sight/strain.py
@@ -147,6 +147,10 @@
         self._asked_at = now
         return True
 
+    def pressed(self, now: int) -> None:
+        """Begin with the belief that the fleet bears just what it holds: somebody else's requests fill it."""
+        self._over.share, self._over.at = OVER_BORNE, now
+
     def excess(self) -> float:
         """How far the fleet is beyond what is bearable: 1 when no attempt is answered in time, -1 when all are."""
         return (self._over.share - OVER_BORNE) / OVER_BORNE
