--- a/tests/sight/test_strain.py
+++ b/tests/sight/test_strain.py
@@ -181,3 +181,10 @@
     now = _serve(borne, 0, 5, 50 * MS)
     before = borne.least(now, 10.0)
     assert borne.least(now + 60 * S, 10.0) < 0.05 * before
+
+
+def test_where_late_answers_keep_a_part_of_their_worth_a_fleet_may_be_fuller() -> None:
+    strict, lenient = Strain(S, 0.0), Strain(S, 0.25)
+    for chance in (0.0, 0.5, 1.0):
+        assert strict.level(chance) < lenient.level(chance) <= LEVEL_MOST
+    assert Strain(S, 1e9).level(1.0) == LEVEL_MOST
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -293,7 +293,7 @@
         self._arrivals = Rate(RATE_SPANS * settings.rules.fall_us)
         self._served_warm = Rate(RATE_SPANS * settings.rules.fall_us)
         self._norms: dict[tuple[str, int], float] = {}  # usual time of a class and size, over all servers
-        self._strain = Strain(self._longest_aim)
+        self._strain = Strain(self._longest_aim, settings.late_worth())
         self._borne = Borne(self._longest_aim)
         messages = settings.limits.may_message and settings.group_size > 1
         self._hearsay = Hearsay(settings.prices.message, settings.group_size) if messages else None
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -194,6 +194,10 @@
     rules: Rules = field(default_factory=Rules)
     prices: Prices = field(default_factory=Prices)
 
+    def late_worth(self) -> float:
+        """The part of its worth that a late answer keeps, in the mean of the classes."""
+        return sum(each.late_worth for each in self.classes) / len(self.classes)
+
     @staticmethod
     def from_mapping(given: Mapping[str, Any]) -> Settings:
         """Read settings from plain nested mappings; raise ValueError, naming the key, on nonsense."""
--- a/topazbank/sight/strain.py
+++ b/topazbank/sight/strain.py
@@ -20,8 +20,11 @@
 LATE_STEP_MOST = 0.04  # where few come: what is late evens out the zones, and chance would do so too
 ASK_AIMS = 0.25  # without news for this many of the longest aim, one request is let in to bring some
 NEWS_AIMS = 1.0  # what was learnt this many of the longest aim ago is old, however few answers came since
-LEVEL = 0.3  # the typical answer may take this part of its aim; beyond that the fleet is overloaded
-LEVEL_FEW = 0.4  # or this, where so few are in flight that much of the median is chance
+LEVEL = 0.25  # the typical answer may take this part of its aim; beyond that the fleet is overloaded
+LATE_ROOM = (
+    0.8  # and so much more of it for a late answer of full worth: the fuller a fleet, the more come late
+)
+LEVEL_FEW = 0.33  # or this, where so few are in flight that much of the median is chance
 LEVEL_MOST = 0.5  # and never more than this part of the aim, or overload would pass for the usual
 FLOOR_ROOM = 1.2  # but never less than this many times what it takes when the fleet is idle
 SPENT_MOST = 1.0  # the median is not followed past the aim: from there it must find back
@@ -80,6 +83,8 @@
         "_asked_at",
         "_felt_at",
         "_hopeless",
+        "_level",
+        "_level_few",
         "_over",
         "_slow",
         "_span_us",
@@ -90,7 +95,10 @@
         "spent",
     )
 
-    def __init__(self, longest_aim_us: int) -> None:
+    def __init__(self, longest_aim_us: int, late_worth: float = 0.0) -> None:
+        """`late_worth`: the part of its worth that a late answer keeps, in the mean of the classes."""
+        room = 1.0 + LATE_ROOM * late_worth
+        self._level, self._level_few = min(LEVEL * room, LEVEL_MOST), min(LEVEL_FEW * room, LEVEL_MOST)
         self._span_us = NEWS_AIMS * longest_aim_us
         self._felt_at = 0
         self._asked_at = 0  # when a request was last let in for its news alone
@@ -165,7 +173,7 @@
         A median, so that a few slow servers or heavy requests are not taken for an overloaded fleet.
         """
         if self.floor is None:
-            self.spent = self.floor = min(spent, LEVEL)
+            self.spent = self.floor = min(spent, self._level)
         news = min((now - self._felt_at) / self._span_us, 1.0)
         self._felt_at = now
         step = max(MEDIAN_STEP, min(news, MEDIAN_STEP_MOST))
@@ -180,8 +188,8 @@
 
     def level(self, chance: float) -> float:
         """The part of its aim that the typical answer may take, where this much of the median is chance (0 to 1)."""
-        level = min(max(LEVEL, FLOOR_ROOM * (self.floor or 0.0)), LEVEL_MOST)
-        return max(level, LEVEL + chance * (LEVEL_FEW - LEVEL))
+        level = min(max(self._level, FLOOR_ROOM * (self.floor or 0.0)), LEVEL_MOST)
+        return max(level, self._level + chance * (self._level_few - self._level))
 
 
 class Borne:
