List calls of a fleet are spread by its size, and a rig of thousands of sidecars checks the bounds

What is fine alone and hurts when all do it: each sidecar's watch ran out every 8 s, whatever their number (5,000 sidecars: 625 calls a second to one registry), all asked at once at a start, and in an outage each asked again every 1.3 to 2.5 s. Now a watch waits up to the platform's 60 s where there are many (5 that run out a second for all, with a quarter of chance), the first call is spread over 5.5 s in fleets of 128 and more, and calls that fail are made again within 8 s there instead of 2.5, still inside the time allowed without asking. Fleets of up to 40 sidecars do as before.

core/bounds.py holds the formulas with the owner of each limit; standins/fleet/crowd.py plays 1,000 to 5,000 sidecars over loopback in a few processes, calm, restarted all at once with a list two fifths dead, and with the registry down.

--- /dev/null
+++ b/tests/fleet/test_crowd.py
@@ -0,0 +1,57 @@
+"""Many quiet sidecars on loopback: the totals stay inside the formulas while service holds."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from standins.fleet import crowd
+from topazbank.core.bounds import Fleet, bounds, connections_each, list_calls_a_second
+from topazbank.membership.registry import WATCH_LEAST_S, WATCH_MOST_S, watch_s
+from topazbank.wirenames import settings_from_wire
+
+
+def test_a_thousand_sidecars_stay_inside_the_formulas() -> None:
+    """One scene after the other: each takes a few processes, beside whatever other tests run."""
+    results = asyncio.run(
+        asyncio.wait_for(
+            crowd.run(crowd.SCENES, sidecars=1000, workers=2, nodes=40, rate=0.1, seconds=7.0), 280.0
+        )
+    )
+    for result in results:
+        assert result.beyond() == [], result.scene
+        assert result.counts["served"] > 400, result.scene
+        assert result.served > 0.97, result.scene
+
+
+def fleet(sidecars: int, servers: int = 60, rate: float = 0.2) -> Fleet:
+    given = {"lanes": [{"name": "check", "giveUpUs": 2_000_000, "promiseUs": 500_000, "repeat": "read_like"}]}
+    return Fleet(settings_from_wire(given), sidecars, servers, rate, 0.05)
+
+
+def test_what_one_sidecar_holds_open_hardly_grows_with_the_fleet() -> None:
+    """Among more sidecars one is further from the mean by chance."""
+    assert connections_each(fleet(40)) <= connections_each(fleet(5000)) <= connections_each(fleet(40)) + 2
+
+
+def test_list_calls_of_a_fleet_grow_far_less_than_it_does() -> None:
+    small, large = list_calls_a_second(fleet(40), False), list_calls_a_second(fleet(5000), False)
+    assert large < 5000 / 40 * small / 5
+
+
+def test_messages_end_where_a_fleet_is_too_large_for_them() -> None:
+    given = {
+        "lanes": [{"name": "check", "giveUpUs": 2_000_000, "promiseUs": 500_000, "repeat": "read_like"}],
+        "bounds": {"mayTell": True},
+    }
+    settings = settings_from_wire(given)
+    assert bounds(Fleet(settings, 40, 60, 1.0, 0.05), 10.0)["tells"] > 0
+    assert bounds(Fleet(settings, 5000, 60, 1.0, 0.05), 10.0)["tells"] == 0
+
+
+@pytest.mark.parametrize(
+    ("sidecars", "wait"), [(1, WATCH_LEAST_S), (40, WATCH_LEAST_S), (100, 20.0), (5000, WATCH_MOST_S)]
+)
+def test_a_watch_waits_longer_in_a_larger_fleet_up_to_the_platforms_most(sidecars: int, wait: float) -> None:
+    assert watch_s(sidecars) == wait
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -81,8 +81,10 @@
     1.5  # where opening a connection is priced, a server without one counts as so much slower in ties
 )
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
-ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
-ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
+ASK_AGAIN = 0.2  # first wait before asking discovery again, of the longest
+ASK_AGAIN_MOST = 0.25  # and the longest, of the time allowed without asking: three failed calls still fit
+ASK_AGAIN_LAST = 0.8  # or this in a fleet so large that all asking so often would keep discovery down
+ASK_FLEET = 160.0  # sidecars that may ask once in the whole time allowed
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 CROSS_GAIN = 2.0  # a crossing must spare this many times its price, in parts of the aim
 CROSS_LEAST = 0.1  # less than this part of the aim is lost in what is expected: such crossings go by odds
@@ -276,6 +278,7 @@
         self._stall = Stall(min(each.aim_us for each in settings.classes), settings.tick_us)
         self._begun = False
         self._failed_calls = 0
+        self._ask_most = max(ASK_AGAIN_MOST, min(settings.group_size / ASK_FLEET, ASK_AGAIN_LAST))
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
         self._young = 0  # attempts out whose aim is not past, at servers that are not ejected
@@ -327,7 +330,8 @@
             self._size_window(self._load())
         if not self._begun:
             self._begun = True
-            self._ask()
+            spread = (self._ask_most - ASK_AGAIN_MOST) * self._settings.rules.ask_within_us
+            self._ask_in(spread * self._random.random()) if spread > 0.0 else self._ask()
         self._take[type(event)](event)
         self._take_turns()
         self._tell_others()
@@ -359,7 +363,7 @@
     def _ask_again_later(self) -> None:
         """After a failed call: wait twice as long each time, with jitter, so that instances spread out."""
         allowed = self._settings.rules.ask_within_us
-        wait = min(ASK_AGAIN * allowed * 2**self._failed_calls, ASK_AGAIN_MOST * allowed)
+        wait = min(ASK_AGAIN * 2**self._failed_calls, 1.0) * self._ask_most * allowed
         self._failed_calls = min(self._failed_calls + 1, 8)
         self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
 
@@ -1069,8 +1073,8 @@
     def _turned_away(self, request: Request, server: Server, report: Mapping[str, float] | None) -> bool:
         """Learn from a full answer; say whether the server had room, so that it tells of no overload.
 
-        Guards against servers that admit little of one class or tenant: its requests go elsewhere for a
-        while, longer each time, those of others stay.  Where too few servers are left they are tried again.
+        Guards against servers that admit little of one class or tenant: its requests go elsewhere, for longer
+        each time.  Where too few servers are left they are tried again.
         """
         times = server.turned_away.get(request.flow, (0, 0))[1]
         wait = min(EJECT_AIMS * 2**times, EJECT_AIMS_MOST) * self._longest_aim
@@ -1176,9 +1180,8 @@
     def _strikes(self, attempt: Attempt) -> int:
         """Failures in a row that eject a server.
 
-        Where another was found out of reach just now, one is enough: zones are lost whole, and three dials for
-        each of their servers from each balancer are hundreds of requests.  Not of a server that answers others: it
-        is full.
+        One failed dial, where another server was found out of reach just now: zones are lost whole, and three
+        for each server from each balancer are many.  But not of a server that answers others: it is full.
         """
         alike = self._now - self._cut_off_at <= self._longest_aim
         lost = attempt.server.unreached > 0 and attempt.server.last_answer_at <= attempt.sent_at
--- a/topazbank/wiring.py
+++ b/topazbank/wiring.py
@@ -66,15 +66,21 @@
 
 
 def _source(membership: Membership, config: Config, told: Hear) -> Source:
-    return membership_source(membership, config.discovery, told, config.known.version, config.seed)
+    sidecars = config.settings.group_size
+    return membership_source(membership, config.discovery, told, config.known.version, config.seed, sidecars)
 
 
 def membership_source(
-    membership: Membership, registry: Address | None, told: Hear, version: int = 0, seed: int | None = None
+    membership: Membership,
+    registry: Address | None,
+    told: Hear,
+    version: int = 0,
+    seed: int | None = None,
+    sidecars: int = 1,
 ) -> Source:
     """The sources that an operator file names; the registry alone is itself, as the platform has it."""
     makers: dict[str, Callable[[Hear], Source]] = {
-        REGISTRY: partial(_registry, registry, version),
+        REGISTRY: partial(_registry, registry, version, sidecars, seed),
         ZOOKEEPER: partial(_zookeeper, membership.zookeeper, seed),
     }
     if membership.sources == (REGISTRY,):
@@ -82,9 +88,9 @@
     return Several({name: makers[name] for name in membership.sources}, told)
 
 
-def _registry(address: Address | None, version: int, told: Hear) -> Source:
+def _registry(address: Address | None, version: int, sidecars: int, seed: int | None, told: Hear) -> Source:
     assert address is not None
-    return Discovery(address, version, told)
+    return Discovery(address, version, told, sidecars, seed)
 
 
 def _zookeeper(given: ZooKeeper, seed: int | None, told: Hear) -> Source:
