--- a/standins/fleet/crowd.py
+++ b/standins/fleet/crowd.py
@@ -122,7 +122,7 @@
             sidecar = Sidecar(config, counted)
             task = asyncio.get_running_loop().create_task(sidecar.run(asyncio.Event()))
             self._lives.append((sidecar, task))
-        await asyncio.sleep(0)
+            await asyncio.sleep(0)  # those that stand already go on meanwhile
 
     async def end(self) -> None:
         """All are killed; their connections break as those of a process that ends."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -130,6 +130,23 @@
     play(scene())
 
 
+def test_in_a_large_fleet_a_watch_waits_longer_and_no_two_alike() -> None:
+    async def scene() -> None:
+        service = FakeDiscovery()
+        await service.start()
+        waits = []
+        for seed in range(8):
+            discovery = Discovery(service.address, 1, lambda told: None, 5000, seed)
+            discovery.follow(True)
+            await until(lambda: len(service.targets) == seed + 1)  # noqa: B023
+            waits.append(int(service.targets[-1].rpartition("=")[2]))
+            discovery.stop()
+        assert len(set(waits)) == 8 and 45_000 <= min(waits) and max(waits) <= 60_000
+        service.stop()
+
+    play(scene())
+
+
 @pytest.mark.usefixtures("each_pair")
 def test_pushed_lists_are_read_without_being_asked_for() -> None:
     async def scene() -> None:
--- a/topazbank/core/bounds.py
+++ b/topazbank/core/bounds.py
@@ -14,6 +14,7 @@
     ASK_AGAIN_MOST,
     ASK_FLEET,
     EXTRA_PER_REQUEST,
+    EXTRA_SAVED,
     REACH,
     REACH_PER_BUSY,
 )
@@ -96,7 +97,7 @@
     """The most of each over this span, in which all sidecars start so many times; all sidecars together."""
     n, tries = fleet.sidecars, fleet.sidecars * fleet.rate * seconds
     some = CHANCE * math.sqrt(max(tries, 1.0))  # more tries than the mean, by chance
-    attempts = (tries + some) * (1.0 + EXTRA_PER_REQUEST) + starts * n * EXTRA_PER_REQUEST
+    attempts = (tries + some) * (1.0 + EXTRA_PER_REQUEST) + starts * n * EXTRA_PER_REQUEST * EXTRA_SAVED / 2
     each = connections_each(fleet)
     probes = (1 + starts) * n * ASKED if can_tell(fleet.settings) else 0.0
     waits = list_calls_a_second(fleet, False) * seconds + 2.0 * n * (1 + starts)
