--- a/standins/fleet/crowd.py
+++ b/standins/fleet/crowd.py
@@ -129,14 +129,14 @@
         for caller in self._callers.values():
             caller.close()
         self._callers.clear()
-        for sidecar, task in self._lives:
+        ended, self._lives = self._lives, []  # from here on no call goes to them, and what is out is cut off
+        for sidecar, task in ended:
             task.cancel()
             sidecar.frontend.stop()
             for connection in sidecar.frontend.connections:
                 connection.abort()
             sidecar._discovery.stop()
             await sidecar._nodes.close()
-        self._lives.clear()
         await asyncio.sleep(0)
 
     def load(self) -> None:
