Servers full of a class are not tried beside two that admit it

Now two that admit the class are enough.

Its test: 47 full answers before, 10 now, for 60 requests where two of six servers admit the class.

--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -747,6 +747,23 @@
     assert full in looks and full not in pays
 
 
+def test_servers_full_of_a_class_are_left_alone_while_two_others_admit_it() -> None:
+    stage = Stage()
+    stage.servers(names(6))
+    admit = {each.name for each in stage.balancer._ready[:2]}
+    fulls = 0
+    for _ in range(60):
+        stage.wait(40 * MS)
+        request, seen = stage.request("look"), 0
+        while len(stage.sends(request)) > seen:
+            seen = len(stage.sends(request))
+            stage.wait(20 * MS)
+            refused = stage.target(request) not in admit
+            fulls += refused
+            stage.end(request, Outcome.FULL if refused else Outcome.DELIVERED, report={"util": 0.3})
+    assert fulls <= 12  # one from each of the four, and again after one second and after three
+
+
 def test_a_server_that_was_full_long_ago_is_drawn_again() -> None:
     stage = Stage()
     stage.servers(names(5))  # four without it: a full draw
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -61,6 +61,7 @@
 # -- Constants: ratios of what the settings give or of what was observed ------------------------------
 
 DRAWN = 4  # k: counts are mostly small here, where two looks find too little
+OPEN_LEAST = 2  # servers that admit a class are enough: those that said full of it are not tried beside them
 REACH = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
 REACH_PER_BUSY = 1.0  # and from one more for each request in flight: as many again may be empty
 PROBE_SPEND = 0.01  # probes for a request may cost this part of its worth: they settle ties between zeros
@@ -727,7 +728,7 @@
                 (pool if away is None or away[0] <= self._now else shut).append(each)
                 if len(pool) >= reach:
                     break
-        return pool if len(pool) >= min(DRAWN, reach) else pool + shut[: reach - len(pool)]
+        return pool if len(pool) >= min(OPEN_LEAST, reach) else pool + shut[: reach - len(pool)]
 
     def _reach(self) -> int:
         return int(REACH + REACH_PER_BUSY * self._mean_load)
@@ -1178,10 +1179,9 @@
                     self._turned_cold(server, self._now)  # its process may come back before the list says so
 
     def _strikes(self, attempt: Attempt) -> int:
-        """Failures in a row that eject a server.
+        """Failures in a row that eject a server: one failed dial, where another is out of reach just now.
 
-        One failed dial, where another server was found out of reach just now: zones are lost whole, and three
-        for each server from each balancer are many.  But not of a server that answers others: it is full.
+        Zones are lost whole.  But not of a server that answers others meanwhile: it is full.
         """
         alike = self._now - self._cut_off_at <= self._longest_aim
         lost = attempt.server.unreached > 0 and attempt.server.last_answer_at <= attempt.sent_at
