One wrapper for a rig's processes, one formula for asking; dead parts of the change removed

Read over once more. standins/fleet/child.py is the process that wide and crowd each had; how often a fleet asks stands in sight/asking.py alone, for the decision module and the bounds; the limit of a message in sight/hearsay.py alone. The trace kept a table of attempts that nothing read and that had no bound: removed, as the account counts them itself. Also gone: a flag that the account's page named and did not have, two unused fields, a no-op.

A fault on the way: soundings counted six probes where the list holds fewer servers, so that two full servers were no full fleet. Its test fails without the mend.

--- a/benchmarks/fleet_account.py
+++ b/benchmarks/fleet_account.py
@@ -1,6 +1,6 @@
 """Where a fleet's worth was lost, by cause and by second, from the traces of all its sidecars.
 
-    python -m benchmarks.fleet_account LOGS [--step 1.0] [--servers] [--json FILE]
+    python -m benchmarks.fleet_account LOGS [--step 1.0] [--servers]
 
 LOGS is a folder of the sidecars' logs, one file each, written with `[trace]` on (docs/operators/size.md). Lost is
 what first tries asked for less what came in time; a client's repeat is part of its first try, so the causes are told
@@ -63,8 +63,7 @@
         self.sidecars = self.lives = self.dropped = 0
         self.kinds: dict[str, tuple[float, int]] = {}
         self.by_kind: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])  # offered, in time
-        self.warm: set[str] = set()
-        self.cold: set[str] = set()
+        self.cold: set[str] = set()  # servers that were sent to while they were cold
 
     def read(self, path: Path) -> None:
         """One sidecar's log, with all its lives."""
@@ -90,8 +89,6 @@
                 self.dropped += rest[0]
             elif what in COUNTED:
                 slot.counts[what] += 1
-            if what == "follow":
-                slot.counts["follow"] += 0
         self._cut_off(live)
 
     def _arrived(self, live: dict[int, Try], slot: Slot, at: int, rest: list[Any]) -> None:
@@ -106,7 +103,8 @@
 
     def _sent(self, live: dict[int, Try], slot: Slot, idle: Counter[str], rest: list[Any]) -> None:
         ident, server, cold, _ = rest
-        (self.cold if cold else self.warm).add(server)
+        if cold:
+            self.cold.add(server)
         if idle[server] > 0:
             idle[server] -= 1
         else:
@@ -148,7 +146,7 @@
         else:
             cause += ", attempt out"
         self.slots[found.at // self._step].causes[cause] += 1
-        for name, value in (rest[2] if len(rest) > 2 else {}).items():
+        for name, value in (rest[1] if len(rest) > 1 else {}).items():
             if value is not None:
                 slot.beliefs[name].append(value)
 
--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -39,6 +39,7 @@
     "msgpackrpc/front.py",
     "msgpackrpc/mapping.py",
     "msgpackrpc/upstream.py",
+    "sight/asking.py",
     "sight/fading.py",
     "sight/hearsay.py",
     "sight/soundings.py",
--- a/standins/fleet/crowd.py
+++ b/standins/fleet/crowd.py
@@ -21,10 +21,11 @@
 import time
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from typing import Any
 
 from standins.clients import HttpCaller, Wish
+from standins.fleet.child import LINE_MOST, Child
 from standins.fleet.rig import EXAMPLE
 from standins.lodge import Lodge, LodgeServer, RunLog
 from standins.registry import Registry
@@ -46,8 +47,6 @@
 BUDGET_S = 2.0
 DEAD_PART = 0.42  # of the last list, when all come back
 SETTLE_S = 1.0
-START_S = 180.0  # for all processes to come up
-LINE_MOST = 1 << 24
 
 
 # -- A worker: sidecars and their clients --------------------------------------------------------------
@@ -59,7 +58,6 @@
 
     first: int
     count: int
-    all: int  # sidecars of the whole fleet
     rate: float  # calls a second to each
     seed: int
     registry: Address
@@ -104,15 +102,7 @@
 
     async def start(self, known: dict[str, Any]) -> None:
         """All at once, each with this list."""
-        wiring = wire(Operator())
-        counted = type(wiring)(
-            wiring.text,
-            wiring.binary,
-            wiring.carriers,
-            wiring.source,
-            dialects=wiring.dialects,
-            trace=lambda balancer: Counting(balancer, self.counts),
-        )
+        counted = replace(wire(Operator()), trace=lambda balancer: Counting(balancer, self.counts))
         told = parse_list(known)
         for number in range(self.given.first, self.given.first + self.given.count):
             config = Config(
@@ -161,7 +151,7 @@
         key = f"key-{ident}" if kind == "amend" else None
         wish = Wish(kind, ident, body=b"" if kind == "check" else b"x", budget_s=BUDGET_S, key=key)
         life = self._lives[number][0]
-        caller = self._callers.pop(number, None) or HttpCaller(self._lives[number][0].frontend.address)
+        caller = self._callers.pop(number, None) or HttpCaller(life.frontend.address)
         self.counts["calls"] += 1
         got = await caller.call(wish)
         alive = number < len(self._lives) and self._lives[number][0] is life
@@ -191,7 +181,6 @@
     """Counts the connections that came, and those that are open."""
 
     accepted = 0
-    probed = 0
 
     async def _http(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.accepted += 1
@@ -265,40 +254,14 @@
         print(json.dumps(said), flush=True)
 
 
-class Child:
-    """A process of the rig."""
+class Part(Child):
+    """A process of this rig, by its role."""
 
-    def __init__(self, role: str, given: Any) -> None:
-        self._command = (sys.executable, "-m", "standins.fleet.crowd", role, json.dumps(asdict(given)))
-        self._process: asyncio.subprocess.Process | None = None
-        self._turn = asyncio.Lock()
+    def __init__(self, role: str, given: Crowd | Some) -> None:
+        super().__init__("standins.fleet.crowd", role, json.dumps(asdict(given)))
 
-    async def start(self) -> None:
-        pipe = asyncio.subprocess.PIPE
-        self._process = await asyncio.create_subprocess_exec(
-            *self._command, stdin=pipe, stdout=pipe, stderr=asyncio.subprocess.DEVNULL, limit=LINE_MOST
-        )
-        async with asyncio.timeout(START_S):
-            await self._line()
-
-    async def _line(self) -> Any:
-        assert self._process is not None and self._process.stdout is not None
-        line = await self._process.stdout.readline()
-        if not line:
-            raise RuntimeError("a process of the rig has ended")
-        return json.loads(line)
-
-    async def say(self, word: str, *given: Any) -> Any:
-        async with self._turn:
-            assert self._process is not None and self._process.stdin is not None
-            self._process.stdin.write(json.dumps([word, *given]).encode() + b"\n")
-            async with asyncio.timeout(START_S):
-                return await self._line()
-
-    async def stop(self) -> None:
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
-            await self._process.wait()
+    async def tell(self, word: str, *given: Any) -> Any:
+        return await self.say(json.dumps([word, *given]))
 
 
 # -- The rig ------------------------------------------------------------------------------------------------
@@ -361,21 +324,21 @@
         self.settings: Settings = settings_from_wire(self.given)
         self.sidecars, self.nodes, self.rate = sidecars, nodes, rate
         self._worker_count, self._seed = workers, seed
-        self.workers: list[Child] = []
-        self.sides: list[Child] = []
+        self.workers: list[Part] = []
+        self.sides: list[Part] = []
 
     async def start(self) -> None:
         await self.registry.start()
         sides = max(1, min(self._worker_count // 3, 4))
         edges = [self.nodes * each // sides for each in range(sides + 1)]
-        self.sides = [Child("nodes", Some(a, b - a)) for a, b in itertools.pairwise(edges)]
+        self.sides = [Part("nodes", Some(a, b - a)) for a, b in itertools.pairwise(edges)]
         await asyncio.gather(*(each.start() for each in self.sides))
         for side in self.sides:
-            self.registry.put(*await side.say("entries"))
+            self.registry.put(*await side.tell("entries"))
         edges = [self.sidecars * each // self._worker_count for each in range(self._worker_count + 1)]
         self.workers = [
-            Child("worker", Crowd(
-                a, b - a, self.sidecars, self.rate, self._seed * 1000 + a, self.registry.address,
+            Part("worker", Crowd(
+                a, b - a, self.rate, self._seed * 1000 + a, self.registry.address,
                 self.registry.whole(), self.given,
             ))
             for a, b in itertools.pairwise(edges)
@@ -389,14 +352,14 @@
     async def counts(self) -> Counter[str]:
         """Sums over all processes; what is a most is a most."""
         total: Counter[str] = Counter()
-        for told in await asyncio.gather(*(each.say("told") for each in [*self.workers, *self.sides])):
+        for told in await asyncio.gather(*(each.tell("told") for each in [*self.workers, *self.sides])):
             for name, value in told.items():
                 total[name] = max(total[name], value) if name.startswith("most") else total[name] + value
         total["list calls"] = self.registry.calls
         return total
 
     async def all(self, word: str, *given: Any) -> None:
-        await asyncio.gather(*(each.say(word, *given) for each in self.workers))
+        await asyncio.gather(*(each.tell(word, *given) for each in self.workers))
 
     async def play(self, scene: str, seconds: float) -> Result:
         """Load all sidecars for so long, with the scene in the middle; give the counts since the load began."""
@@ -434,7 +397,7 @@
         dead = random.Random(self._seed).sample(names, int(DEAD_PART * len(names)))
         await self.all("end")
         for side in self.sides:
-            await side.say("die", dead)
+            await side.tell("die", dead)
         for name in dead:
             self.registry.remove(name)
         await self.all("start", known)
--- a/standins/fleet/wide.py
+++ b/standins/fleet/wide.py
@@ -28,20 +28,19 @@
 
 from standins.fleet.__main__ import HEAD, row
 from standins.fleet.calling import KINDS, MIX, now
+from standins.fleet.child import ROOT, Child
 from standins.fleet.judge import Called, Reached, Verdicts, Word, judge
 from standins.fleet.rig import EXAMPLE, SPEED_NAMES, Noting
-from standins.fleet.worker import LINE_MOST, Spec
+from standins.fleet.worker import Spec
 from standins.lodge import SPEEDS, LodgeServer, Memory, RunLog
 from standins.registry import Registry
 from standins.wire import Address, Asked, place
 from topazbank.plan import ask_planner
 
-ROOT = Path(__file__).parent.parent.parent
 SLOTS, QUEUE = 2, 30  # of a node
 COLD_S = 22.0
 SHARE = {"check": 0.6, "amend": 1.0, "lodge": 1.6}  # of the mean work, by class
 MEAN = sum(SHARE[kind] * part for kind, part in zip(KINDS, MIX, strict=True)) / sum(MIX)
-START_S = 60.0  # for all processes to come up, on a machine that is busy
 LOOK_S = 0.25  # how often it is looked at who follows a plan
 
 
@@ -93,40 +92,12 @@
         return max(found, key=found.__getitem__) if found else None
 
 
-class WorkerProcess:
+class WorkerProcess(Child):
     """One process of forwarders; it is told a word and answers with a line."""
 
     def __init__(self, spec: Spec) -> None:
+        super().__init__("standins.fleet.worker", json.dumps(asdict(spec)))
         self.spec = spec
-        self._process: asyncio.subprocess.Process | None = None
-        self._turn = asyncio.Lock()
-
-    async def start(self) -> None:
-        command = (sys.executable, "-m", "standins.fleet.worker", json.dumps(asdict(self.spec)))
-        pipe = asyncio.subprocess.PIPE
-        self._process = await asyncio.create_subprocess_exec(
-            *command, cwd=ROOT, stdin=pipe, stdout=pipe, stderr=asyncio.subprocess.DEVNULL, limit=LINE_MOST
-        )
-        async with asyncio.timeout(START_S):
-            await self._line()
-
-    async def _line(self) -> Any:
-        assert self._process is not None and self._process.stdout is not None
-        line = await self._process.stdout.readline()
-        if not line:
-            raise RuntimeError(f"the worker of forwarder {self.spec.first} on has ended")
-        return json.loads(line)
-
-    async def say(self, word: str) -> Any:
-        async with self._turn:
-            assert self._process is not None and self._process.stdin is not None
-            self._process.stdin.write(f"{word}\n".encode())
-            return await self._line()
-
-    async def stop(self) -> None:
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
-            await self._process.wait()
 
 
 class Wide:
--- a/standins/fleet/worker.py
+++ b/standins/fleet/worker.py
@@ -23,7 +23,6 @@
 from topazbank.wirenames import settings_from_wire
 from topazbank.wiring import wire
 
-LINE_MOST = 1 << 26  # bytes of one answer: a minute's notes of some hundreds of calls a second
 SOCKETS = 256  # of each forwarder
 
 
--- a/tests/sight/test_soundings.py
+++ b/tests/sight/test_soundings.py
@@ -82,7 +82,7 @@
 
 def test_the_share_is_of_the_servers_that_are_there() -> None:
     soundings = Soundings(settings(**DEAR))
-    soundings.begin(0)
+    soundings.begin(0, 60)
     for report in (FULL, FULL, FULL, None, None, None):
         soundings.heard(report, 0.4)
     assert soundings.fair_share(100 * MS, 60) == pytest.approx(20.0 * 30 / 40)
@@ -90,7 +90,7 @@
 
 def test_what_is_heard_long_after_the_start_is_the_windows_business() -> None:
     soundings = Soundings(settings(**DEAR))
-    soundings.begin(0)
+    soundings.begin(0, 60)
     for _ in range(3):
         soundings.heard(FULL, 0.4)
     assert soundings.fair_share(3 * S, 60) is None
@@ -108,3 +108,7 @@
 )
 def test_a_wait_is_worked_off_by_what_is_in_work(report: dict[str, float], expected: float | None) -> None:
     assert expected_us(report) == expected
+
+
+def test_two_servers_that_are_both_full_are_a_full_fleet() -> None:
+    assert refused(begin({0: FULL, 1: FULL}, servers=2)) > 3
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,9 +12,9 @@
 
 from topazbank.config import read_config
 from topazbank.core.net import Address
-from topazbank.core.peers import MESSAGE_MOST, Peers, Tier
+from topazbank.core.peers import Peers, Tier
 from topazbank.interface import MessageReceived, Tell
-from topazbank.sight.hearsay import VERSION, tag_of
+from topazbank.sight.hearsay import MESSAGE_MOST, VERSION, tag_of
 
 WAIT_S = 10.0
 
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -51,6 +51,7 @@
     Tell,
     TimerFired,
 )
+from topazbank.sight import asking
 from topazbank.sight.fading import Fit, Rate
 from topazbank.sight.hearsay import Hearsay, tag_of
 from topazbank.sight.soundings import Soundings, can_tell
@@ -79,13 +80,9 @@
 COLD_BURST = 0.18  # part of that load that may come at once
 COLD_ODDS = 2.0  # drawn by this many times its least warmth: it is mostly warmer, and its budget guards it
 FRESH_COST = (
-    1.5  # where opening a connection is priced, a server without one counts as so much slower in ties
+    1.5  # where opening one is priced, a server without a connection counts as slower by this in ties
 )
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
-ASK_AGAIN = 0.2  # first wait before asking discovery again, of the longest
-ASK_AGAIN_MOST = 0.25  # and the longest, of the time allowed without asking: three failed calls still fit
-ASK_AGAIN_LAST = 0.8  # or this in a fleet so large that all asking so often would keep discovery down
-ASK_FLEET = 160.0  # sidecars that may ask once in the whole time allowed
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 CROSS_GAIN = 2.0  # a crossing must spare this many times its price, in parts of the aim
 CROSS_LEAST = 0.1  # less than this part of the aim is lost in what is expected: such crossings go by odds
@@ -279,7 +276,7 @@
         self._stall = Stall(min(each.aim_us for each in settings.classes), settings.tick_us)
         self._begun = False
         self._failed_calls = 0
-        self._ask_most = max(ASK_AGAIN_MOST, min(settings.group_size / ASK_FLEET, ASK_AGAIN_LAST))
+        self._ask_most = asking.longest_wait(settings.group_size, settings.rules.ask_within_us)
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
         self._young = 0  # attempts out whose aim is not past, at servers that are not ejected
@@ -331,7 +328,7 @@
             self._size_window(self._load())
         if not self._begun:
             self._begun = True
-            spread = (self._ask_most - ASK_AGAIN_MOST) * self._settings.rules.ask_within_us
+            spread = asking.first_spread(self._settings.group_size, self._settings.rules.ask_within_us)
             self._ask_in(spread * self._random.random()) if spread > 0.0 else self._ask()
         self._take[type(event)](event)
         self._take_turns()
@@ -354,7 +351,7 @@
         """
         if self._settings.discovery is Discovery.ON_REQUEST:
             self._actions.append(Follow(True))
-            self._ask_in(ASK_AGAIN_MOST * self._settings.rules.ask_within_us)
+            self._ask_in(asking.MOST * self._settings.rules.ask_within_us)
 
     def _ask_in(self, wait: float) -> None:
         """Ask after this wait, in place of any earlier plan."""
@@ -363,8 +360,7 @@
 
     def _ask_again_later(self) -> None:
         """After a failed call: wait twice as long each time, with jitter, so that instances spread out."""
-        allowed = self._settings.rules.ask_within_us
-        wait = min(ASK_AGAIN * 2**self._failed_calls, 1.0) * self._ask_most * allowed
+        wait = min(asking.AGAIN * 2**self._failed_calls, 1.0) * self._ask_most
         self._failed_calls = min(self._failed_calls + 1, 8)
         self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
 
@@ -380,7 +376,7 @@
             missing = self._servers.keys() - {line.server for line in event.servers}
             touched += [self._server_listed(ListedServer(name, state=ServerState.GONE)) for name in missing]
         if self._soundings is not None and self._ready:
-            for server in self._ready[: self._soundings.begin(self._now)]:
+            for server in self._ready[: self._soundings.begin(self._now, len(self._ready))]:
                 self._probe(server)
         mean_size = self._ready_size / max(len(self._ready), 1)
         self._gone = []
--- a/topazbank/core/bounds.py
+++ b/topazbank/core/bounds.py
@@ -9,10 +9,6 @@
 from dataclasses import dataclass
 
 from topazbank.balancer import (
-    ASK_AGAIN,
-    ASK_AGAIN_LAST,
-    ASK_AGAIN_MOST,
-    ASK_FLEET,
     EXTRA_PER_REQUEST,
     EXTRA_SAVED,
     REACH,
@@ -20,6 +16,7 @@
 )
 from topazbank.interface import Settings
 from topazbank.membership.registry import SPREAD, WATCH_LEAST_S, watch_s
+from topazbank.sight import asking
 from topazbank.sight.hearsay import EVERY_LEAST_US, SENDERS_MOST
 from topazbank.sight.soundings import ASKED, can_tell
 
@@ -80,7 +77,7 @@
     Owner: `Balancer.handle`, which spreads the first call over what is left of the time allowed without one.  News
     goes to every watch, and so each news costs a call of each sidecar.
     """
-    spread_s = max(again_most_s(fleet) - ASK_AGAIN_MOST * fleet.settings.rules.ask_within_us / 1e6, 1.0)
+    spread_s = max(asking.first_spread(fleet.sidecars, fleet.settings.rules.ask_within_us) / 1e6, 1.0)
     starting = 2.0 * fleet.sidecars / spread_s
     news = float(fleet.sidecars) if outage else 0.0
     steady = list_calls_a_second(fleet, outage)
@@ -89,8 +86,7 @@
 
 def again_most_s(fleet: Fleet) -> float:
     """The longest wait between calls to a registry that fails, seconds."""
-    part = max(ASK_AGAIN_MOST, min(fleet.sidecars / ASK_FLEET, ASK_AGAIN_LAST))
-    return part * fleet.settings.rules.ask_within_us / 1e6
+    return asking.longest_wait(fleet.sidecars, fleet.settings.rules.ask_within_us) / 1e6
 
 
 def bounds(fleet: Fleet, seconds: float, starts: int = 0, outage: bool = False) -> dict[str, float]:
@@ -103,7 +99,7 @@
     waits = list_calls_a_second(fleet, False) * seconds + 2.0 * n * (1 + starts)
     failing = 0.0
     if outage:
-        doublings = math.log2(1.0 / ASK_AGAIN) + 1.0
+        doublings = math.log2(1.0 / asking.AGAIN) + 1.0
         failing = n * (1.0 + doublings) + list_calls_a_second(fleet, True) * seconds
     listeners = n - 1
     told = 0.0
--- a/topazbank/core/peers.py
+++ b/topazbank/core/peers.py
@@ -9,11 +9,10 @@
 from typing import cast
 
 from topazbank.core.net import Address
+from topazbank.sight.hearsay import MESSAGE_MOST
 
 log = logging.getLogger(__name__)
 
-MESSAGE_MOST = 256  # bytes: the platform's limit; a longer one voids a run there
-
 
 @dataclass(frozen=True, slots=True)
 class Tier:
--- a/topazbank/core/trace.py
+++ b/topazbank/core/trace.py
@@ -42,8 +42,8 @@
     "gone": ("request",),
     "ended": ("request", "attempt", "server", "outcome", "elapsed_us", "answered"),
     "send": ("request", "server", "cold", "busy"),  # as `standing` gives them, the attempt counted
-    "refuse": ("request", "sent", "view"),
-    "fail": ("request", "sent", "view"),
+    "refuse": ("request", "view"),
+    "fail": ("request", "view"),
     "probe": ("server",),
     "probed": ("server", "outcome", "elapsed_us", "report"),
     "tell": ("bytes",),
@@ -97,7 +97,6 @@
         self._write = write
         self._second = 0
         self._lines = 0
-        self._sent: dict[int, int] = {}  # attempts so far, of requests that have no final answer yet
 
     def begin(self, now: int, classes: Sequence[tuple[str, float, int]], group: int) -> None:
         self._line("start", now, VERSION, [list(each) for each in classes], group)
@@ -105,7 +104,6 @@
     def noted(self, now: int, event: Event, actions: Sequence[Action]) -> None:
         """Note an event and what was decided on it."""
         if isinstance(event, RequestArrived):
-            self._sent[event.request] = 0
             self._line(
                 "arrived",
                 now,
@@ -126,10 +124,7 @@
                 event.elapsed_us,
                 event.answered,
             )
-            if event.answered:
-                self._sent.pop(event.request, None)
         elif isinstance(event, RequestGone):
-            self._sent.pop(event.request, None)
             self._line("gone", now, event.request)
         elif isinstance(event, ProbeEnded):
             self._line("probed", now, event.server, event.outcome.value, event.elapsed_us, event.report)
@@ -142,12 +137,10 @@
 
     def _decided(self, now: int, action: Action) -> None:
         if isinstance(action, Send):
-            self._sent[action.request] = self._sent.get(action.request, 0) + 1
             self._line("send", now, action.request, action.server, *standing(self._balancer, action.server))
         elif isinstance(action, Refuse | Fail):
             what = "refuse" if isinstance(action, Refuse) else "fail"
-            sent = self._sent.pop(action.request, 0)
-            self._line(what, now, action.request, sent, view(self._balancer))
+            self._line(what, now, action.request, view(self._balancer))
         elif isinstance(action, Probe):
             self._line("probe", now, action.server)
         elif isinstance(action, Tell):
--- /dev/null
+++ b/topazbank/sight/asking.py
@@ -0,0 +1,18 @@
+"""How often a sidecar may ask for the list, in a fleet whose sidecars all share one registry; no I/O."""
+
+from __future__ import annotations
+
+AGAIN = 0.2  # the first wait after a failed call, of the longest; it doubles
+MOST = 0.25  # the longest wait, of the time allowed without asking: three failed calls still fit
+LAST = 0.8  # or this in a fleet so large that all asking so often would keep the registry down
+FLEET = 160.0  # sidecars that may ask once in the whole time allowed
+
+
+def longest_wait(sidecars: int, allowed_us: int) -> float:
+    """The longest wait between calls that fail, microseconds; always less than the time allowed without asking."""
+    return max(MOST, min(sidecars / FLEET, LAST)) * allowed_us
+
+
+def first_spread(sidecars: int, allowed_us: int) -> float:
+    """Over how long the first calls of a fleet that starts at once are spread, microseconds; 0 in a small one."""
+    return longest_wait(sidecars, allowed_us) - MOST * allowed_us
--- a/topazbank/sight/soundings.py
+++ b/topazbank/sight/soundings.py
@@ -40,13 +40,13 @@
         self._failed = 0
         self._held = 0.0
 
-    def begin(self, now: int) -> int:
-        """How many servers to probe now; none after the first time."""
+    def begin(self, now: int, ready: int) -> int:
+        """How many of so many servers to probe now; none after the first time."""
         if self.asked:
             return 0
-        self.asked = ASKED
+        self.asked = min(ASKED, ready)
         self._asked_until = now + int(ASKED_AIMS * self._longest_aim_us)
-        return ASKED
+        return self.asked
 
     def heard(self, report: Mapping[str, float] | None, bearable: float) -> None:
         """A probe ended; `bearable`: the part of its aim that a request may take.  None: it failed."""
