--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -255,7 +255,7 @@
         assert (await ask(frontend.address, request()))[2] == b"taken"
         frontend._sock = real
         frontend.stop()
-        await until(frontend.is_empty)
+        await until(lambda: not frontend.held)
 
     play(scene())
 
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -31,8 +31,8 @@
 
 from standins.wire import HTTP
 from topazbank.__main__ import Flood
-from topazbank.core import driver
 from topazbank.core.net import Address
+from topazbank.operation import drain
 
 ROOT = Path(__file__).parent.parent
 SETTINGS: dict[str, Any] = {
@@ -203,7 +203,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guards the 0.4 s in which connections still come; made long, so that a slow machine can't miss them.
-    monkeypatch.setattr(driver, "_ACCEPT_S", 600.0)
+    monkeypatch.setattr(drain, "ACCEPT_S", 600.0)
 
     async def scene() -> None:
         async with world(lambda *_: answer(200, b"served")) as w:
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -17,6 +17,7 @@
 
 from topazbank.config import BAD_CONFIG, read_config
 from topazbank.core.driver import Config, Sidecar, Wiring
+from topazbank.operation.service import Service
 from topazbank.operator import Operator, read_operator
 from topazbank.wiring import wire
 
@@ -56,9 +57,10 @@
     loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, stop.set)
-    running = Running(Sidecar(config, wiring), operator, operator_file)
+    service = Service(config, wiring)
+    running = Running(service.sidecar, operator, operator_file)
     loop.add_signal_handler(signal.SIGHUP, running.reread)
-    await running.sidecar.run(stop)
+    await service.run(stop)
 
 
 class Running:
--- a/topazbank/config.py
+++ b/topazbank/config.py
@@ -35,9 +35,15 @@
         settings=settings_from_wire(given.get("settings")),
         known=Told(0, True, []) if known is None else parse_list(known),
         tier=_tier(given),
+        operator=_operator(environ.get("RELAY_OPERATOR") or given.get("operator")),
+        folder=environ.get("TMPDIR") or None,
     )
 
 
+def _operator(value: Any) -> Address | None:
+    return None if value is None else _address(value, "operator")
+
+
 def _tier(given: dict[str, Any]) -> Tier | None:
     if given.get("peer_listen") is None:
         return None
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import logging
+import socket
 import time
 from collections import deque
 from collections.abc import Callable, Collection, Mapping, Sequence
@@ -56,12 +57,10 @@
     TimerFired,
 )
 from topazbank.interface import Discovery as DiscoveryMode
+from topazbank.operation.drain import Drain
 
 log = logging.getLogger(__name__)
 
-_ACCEPT_S = 0.5  # after SIGTERM, how long connections are still taken: they come for 0.4 s
-_LINGER_S = 0.65  # and how much longer than the longest deadline all may last
-_DEADLINE_MOST_S = 3.0  # the platform waits for no longer deadline than this
 _DRAIN_STEP_S = 0.02  # how often a drain looks at what is left
 _LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
 _LAG_TOLD_S = 0.05  # and from when on it is logged
@@ -110,6 +109,8 @@
     settings: Settings
     known: Told
     tier: Tier | None = None  # None: sidecars do not hear one another
+    operator: Address | None = None  # where operators call; None: nowhere
+    folder: str | None = None  # where one process of a sidecar hands over to the next; None: nowhere
 
 
 class Observer(Guide, Protocol):
@@ -151,7 +152,15 @@
 class Sidecar:
     """One sidecar: a balancer and the sockets round it."""
 
-    def __init__(self, config: Config, wiring: Wiring, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        wiring: Wiring,
+        clock: Clock | None = None,
+        clients: socket.socket | None = None,
+        peers: socket.socket | None = None,
+    ) -> None:
+        """`clients`, `peers`: sockets that listen already, from a process of the same sidecar that is still there."""
         self._settings = settings = config.settings
         self._clock = clock or Clock()
         self._observer = wiring.observer(config, self._clock.now) if wiring.observer is not None else None
@@ -164,7 +173,7 @@
         self._idents = itertools.count(1)
         self._events: deque[Event] = deque()
         self._handling = False
-        half = max((config.sockets - _FDS_KEPT) // 2, 1)
+        self.connections_most = half = max((config.sockets - _FDS_KEPT) // 2, 1)
         self._nodes = Nodes(Slots(half), _PROBE_DIALS * settings.limits.dial_timeout_us / 1e6)
         for protocol, carrier in wiring.carriers(settings, self._nodes.slots).items():
             self._nodes.add(protocol, carrier)
@@ -175,10 +184,17 @@
         self._source_of_list = 0  # counts the sources: what a former one tells late is not heard
         self._discovery = self._make_source(config, wiring)
         told = config.tier is not None and settings.limits.may_message
-        self._peers = Peers(config.tier, self._message) if told and config.tier is not None else None
+        self._peers = None
+        if told and config.tier is not None:
+            self._peers = Peers(config.tier, self._message, peers)
         roster = self._show_roster if wiring.show_roster else None
-        hooks = Hooks(self._taken, self._gone, self._out.__contains__, self._is_ready, roster)
-        self.frontend = Frontend(config.listen, half, hooks, Rulebook(settings), wiring.text, wiring.binary)
+        self.drain = Drain(max(each.deadline_us for each in settings.classes) / 1e6)
+        self._looking: asyncio.TimerHandle | None = None  # at what holds, while the sidecar is emptied
+        self._over = asyncio.Event()
+        hooks = Hooks(self._taken, self._gone, self._out.__contains__, self.drain.is_ready, roster)
+        self.frontend = Frontend(
+            config.listen, half, hooks, Rulebook(settings), wiring.text, wiring.binary, clients
+        )
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
             Refuse: self._refuse,
@@ -195,8 +211,16 @@
 
     # -- Life -----------------------------------------------------------------------------------------
 
-    async def run(self, stop: asyncio.Event) -> None:
-        """Serve until `stop`, then answer all that is held and return."""
+    async def run(
+        self,
+        stop: asyncio.Event,
+        began: Callable[[], None] = lambda: None,
+        succeeded: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Serve until `stop`, then answer all that is held and return.
+
+        `began` is called once requests are taken; `succeeded` says whether another process takes what is new.
+        """
         if self._trace is not None:
             classes = [(each.name, each.worth, each.aim_us) for each in self._settings.classes]
             self._trace.begin(self._clock.now(), classes, self._settings.group_size)
@@ -209,8 +233,11 @@
         if self._observer is not None:
             self._observer.start(lambda: [each.name for each in self._balancer.ejected])
         lag = asyncio.get_running_loop().create_task(self._watch_lag())
+        began()
+        self.drain.serve()
+        self.carry_out()  # an operator may have called already
         await stop.wait()
-        await self._drain()
+        await self._end(succeeded())
         lag.cancel()
         if self._observer is not None:
             self._observer.stop()
@@ -242,24 +269,49 @@
 
         return wiring.source(config, told)
 
-    async def _drain(self) -> None:
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+    def carry_out(self) -> None:
+        """Carry out what holds of the sidecar as a whole, and look again while it is emptied."""
+        orders = self.drain.look(asyncio.get_running_loop().time(), self.frontend.held)
+        self.frontend.follow(orders)
+        if self._looking is not None:
+            self._looking.cancel()
+            self._looking = None
+        if orders.over:
+            self._over.set()
+        elif orders.closes:
+            self._looking = asyncio.get_running_loop().call_later(_DRAIN_STEP_S, self.carry_out)
+
+    async def _end(self, succeeded: bool) -> None:
+        """Answer all that is held, in the time that the platform gives."""
         log.info("draining: %d requests held", len(self._by_call))
-        self.frontend.drain()
-        longest = max(each.deadline_us for each in self._settings.classes) / 1e6
-        last = began + min(longest, _DEADLINE_MOST_S) + _LINGER_S
-        while loop.time() < began + _ACCEPT_S:
-            await asyncio.sleep(_DRAIN_STEP_S)
-            self.frontend.close_idle(used=True)
-        self.frontend.stop()
-        while not self.frontend.is_empty() and loop.time() < last:
-            await asyncio.sleep(_DRAIN_STEP_S)
-            self.frontend.close_idle(used=loop.time() < began + _LINGER_S)
+        self.drain.end(asyncio.get_running_loop().time(), succeeded)
+        self.carry_out()
+        await self._over.wait()
         for live in list(self._by_call.values()):
             self._answer(live, FAILED)
         log.info("drained")
 
+    @property
+    def listening(self) -> list[socket.socket]:
+        """What a process that takes this one's place needs to listen there: for clients, and for other sidecars."""
+        peers = self._peers.sock if self._peers is not None else None
+        return [self.frontend.sock, *([peers] if peers is not None else [])]
+
+    @property
+    def known(self) -> Told:
+        """The list as it was taken so far."""
+        return Told(self._listing.version, True, self._listing.taken())
+
+    @property
+    def open(self) -> tuple[int, int]:
+        """Connections with clients and with nodes."""
+        return self.frontend.held, self._nodes.slots.open
+
+    def bound(self, clients: int | None, nodes: int | None) -> None:
+        """Hold so many connections from now on; None: as many as the limits allow."""
+        self.frontend.bound(clients or self.connections_most)
+        self._nodes.slots.most = nodes or self.connections_most
+
     async def _watch_lag(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -269,9 +321,6 @@
             if late > _LAG_TOLD_S:
                 log.warning("the event loop was %.0f ms late", late * 1000)
 
-    def _is_ready(self) -> bool:
-        return not self.frontend.draining
-
     # -- Events in, actions out -----------------------------------------------------------------------
 
     def handle(self, event: Event) -> None:
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -15,6 +15,7 @@
 
 from topazbank.core.call import Hooks, Rulebook
 from topazbank.core.net import Address, Reader, has_ended, is_quiet
+from topazbank.operation.drain import Orders
 
 log = logging.getLogger(__name__)
 
@@ -107,6 +108,15 @@
             self.close()
 
 
+def listen_at(address: Address) -> socket.socket:
+    """A listening socket; another process of the same user may listen there too, for the time of an upgrade."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    try:
+        return socket.create_server(address, family=family, backlog=_BACKLOG, reuse_port=True)
+    except ValueError:  # a platform without that
+        return socket.create_server(address, family=family, backlog=_BACKLOG)
+
+
 class Frontend:
     """Listens for the application, within a bound on its connections."""
 
@@ -118,8 +128,12 @@
         rules: Rulebook,
         text: Speaks,
         binary: Speaks | None = None,
+        sock: socket.socket | None = None,
     ) -> None:
-        """`text` makes the connections that begin with a letter, `binary` the others; with none all are text."""
+        """`text` makes the connections that begin with a letter, `binary` the others; with none all are text.
+
+        `sock`: a listening one that was handed over, at the same address.
+        """
         self.hooks = hooks
         self.rules = rules
         self._text = text
@@ -134,10 +148,15 @@
         self._sweep_due = 0.0
         self._accepting = False
         self._starting: set[asyncio.Task[None]] = set()
-        self._sock = socket.create_server(address, backlog=_BACKLOG)
+        self._sock = sock or listen_at(address)
         self._sock.setblocking(False)
         self.address: Address = self._sock.getsockname()[:2]
 
+    @property
+    def sock(self) -> socket.socket:
+        """What listens, for the process that comes after this one."""
+        return self._sock
+
     @property
     def connections(self) -> list[ClientConnection]:
         return [each for phase in self._phases.values() for each in phase]
@@ -146,6 +165,11 @@
         """What a connection that begins with this byte speaks."""
         return self._binary if self._binary is not None and first >= _BINARY else self._text
 
+    def bound(self, most: int) -> None:
+        """Hold so many connections from now on; those that are open stay, and what rests makes room as ever."""
+        self._most, self._most_at_rest = most, max(most // 3, 1)
+        self._most_busy = min(self._most_busy, float(most))
+
     def start(self) -> None:
         self._accept_again()
         self._sweep_later()
@@ -265,10 +289,13 @@
     def lost(self, connection: ClientConnection) -> None:
         self._phases[connection.phase].pop(connection, None)
 
-    def drain(self) -> None:
-        """Close what is at rest while new connections are still taken: a request that crosses comes again."""
-        self.draining = True
-        self.close_idle(used=True)
+    def follow(self, orders: Orders) -> None:
+        """Carry out what holds while the sidecar is emptied, or is not any more: a request that crosses comes again."""
+        self.draining, self.stopped = orders.closes, orders.closes_new
+        if not orders.listens:
+            self.stop(orders.ready)
+        if orders.closes:
+            self.close_idle(used=not orders.closes_new)
 
     def close_idle(self, used: bool) -> None:
         """Close what is at rest; with `used`, not what was just opened for a request still on its way."""
@@ -276,14 +303,17 @@
             if connection.is_idle() and (connection.phase in _AT_REST or not used):
                 connection.close()
 
-    def stop(self) -> None:
-        """Take what waits, then listen no more."""
-        self.stopped = True
-        if self._sock.fileno() >= 0:
+    def stop(self, succeeded: bool = False) -> None:
+        """Listen no more; what waits is taken first, unless another process takes it from the same queue."""
+        if self._sock.fileno() < 0:
+            return
+        if not succeeded:
             self._accept(_BACKLOG)
-            if self._accepting:
-                self._pause()
-            self._sock.close()
+        if self._accepting:
+            self._pause()
+        self._sock.close()
 
-    def is_empty(self) -> bool:
-        return not self._count()
+    @property
+    def held(self) -> int:
+        """Connections that are open, or about to be."""
+        return self._count()
--- a/topazbank/core/listing.py
+++ b/topazbank/core/listing.py
@@ -61,6 +61,10 @@
         ready = line.server.state is ServerState.READY
         (self._others if ready else self._leaving)[name] = line
 
+    def taken(self) -> list[Listed]:
+        """The list as it was taken so far."""
+        return list(self._taken.values())
+
     def waits(self) -> bool:
         return bool(self._leaving or self._others)
 
--- a/topazbank/core/peers.py
+++ b/topazbank/core/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
@@ -26,8 +27,11 @@
 class Peers(asyncio.DatagramProtocol):
     """Sends and hears messages; what can't be sent is lost, as any datagram may be."""
 
-    def __init__(self, tier: Tier, heard: Callable[[int, bytes], None]) -> None:
-        """`heard` takes the sender's number and the message."""
+    def __init__(
+        self, tier: Tier, heard: Callable[[int, bytes], None], sock: socket.socket | None = None
+    ) -> None:
+        """`heard` takes the sender's number and the message; `sock`: one that was handed over, bound already."""
+        self._sock = sock
         self._tier = tier
         self._numbers = {address: number for number, address in enumerate(tier.members)}
         self._heard = heard
@@ -35,13 +39,20 @@
 
     async def start(self) -> None:
         """Listen; without the address messages are not carried, and one line says so."""
+        loop = asyncio.get_running_loop()
         try:
-            await asyncio.get_running_loop().create_datagram_endpoint(
-                lambda: self, local_addr=self._tier.listen
-            )
+            if self._sock is not None:
+                await loop.create_datagram_endpoint(lambda: self, sock=self._sock)
+            else:
+                await loop.create_datagram_endpoint(lambda: self, local_addr=self._tier.listen)
         except OSError as fault:
             log.error("no messages between sidecars: %s:%d: %s", *self._tier.listen, fault)
 
+    @property
+    def sock(self) -> socket.socket | None:
+        """What it hears by, for the process that comes after this one."""
+        return self._transport.get_extra_info("socket") if self._transport is not None else None
+
     def stop(self) -> None:
         if self._transport is not None:
             self._transport.close()
--- a/topazbank/membership/registry.py
+++ b/topazbank/membership/registry.py
@@ -7,7 +7,7 @@
 import logging
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from topazbank.core.members import Listed, Standing, Told
@@ -64,6 +64,27 @@
     return Listed(server, _place(entry.get("address"), state), protocol)
 
 
+def list_to_json(version: int, lines: Iterable[Listed]) -> dict[str, Any]:
+    """A list in discovery's form: what `parse_list` reads."""
+    return {"index": version, "snapshot": True, "endpoints": [_entry(each) for each in lines]}
+
+
+def _entry(line: Listed) -> dict[str, Any]:
+    server = line.server
+    entry = {
+        "name": server.server,
+        "zone": server.zone,
+        "type": server.kind,
+        "group": server.cell,
+        "status": next(name for name, state in _STATES.items() if state is server.state),
+        "weight": server.nominal,
+        "since_ms": (server.started_at or 0) // 1000,
+    }
+    if line.address is not None:
+        entry["address"] = f"{line.address[0]}:{line.address[1]}"
+    return entry | ({} if line.protocol is None else {"protocol": line.protocol})
+
+
 def _place(value: object, state: ServerState) -> Address | None:
     """Where the server listens; one that takes nothing new needs no address, and its leaving must be told."""
     try:
--- /dev/null
+++ b/topazbank/operation/service.py
@@ -0,0 +1,104 @@
+"""A sidecar in service: the operators' desk beside it, and the process that came before or comes after."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Mapping
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from topazbank.core.driver import Config, Sidecar, Wiring
+from topazbank.membership.registry import list_to_json, parse_list
+from topazbank.operation.desk import Desk, Orders
+from topazbank.operation.handover import Handover, inherit
+from topazbank.operation.upgrade import parts
+
+log = logging.getLogger(__name__)
+
+
+def path_of(config: Config) -> Path | None:
+    """Where a sidecar at this address hands over; None: nowhere."""
+    if not config.folder:
+        return None
+    return Path(config.folder) / f"topazbank-{config.listen[0]}-{config.listen[1]}.sock"
+
+
+class Service:
+    """One process of a sidecar, from its start to its end."""
+
+    def __init__(self, config: Config, wiring: Wiring) -> None:
+        """Take over from the process before, if one is there; raise OSError where an address can't be listened at."""
+        path = path_of(config)
+        self._before = inherit(path)
+        known = self._before.known
+        if known:
+            config = _told(config, known)
+        self.sidecar = Sidecar(config, wiring, clients=self._before.clients, peers=self._before.peers)
+        self._handover = None
+        if path is not None:
+            self._handover = Handover(path, lambda: self.sidecar.listening, self._snapshot, self._share)
+        if self._before.link is not None:
+            held = (known.get("clients"), known.get("nodes"))
+            self._bound([parts(self.sidecar.connections_most, _count(each)).new for each in held])
+        self._desk: Desk | None = None
+        if config.operator is not None:
+            # Both clocks are the monotonic one; the desk's thread has no loop.
+            orders = Orders(self.sidecar.drain, self._changed)
+            self._desk = Desk(config.operator, orders.answer)
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until `stop`, then answer all that is held and return."""
+        self._loop = asyncio.get_running_loop()
+        if self._desk is not None:
+            self._desk.start()
+        try:
+            await self.sidecar.run(stop, self._began, self._is_succeeded)
+        finally:
+            if self._handover is not None:
+                self._handover.stop()
+            if self._desk is not None:
+                self._desk.stop()
+
+    def _began(self) -> None:
+        if self._handover is not None:
+            self._handover.start(self._before)
+
+    def _is_succeeded(self) -> bool:
+        return self._handover is not None and self._handover.succeeded
+
+    def _changed(self) -> None:
+        """An operator has ordered something; called in the desk's thread."""
+        assert self._loop is not None
+        self._loop.call_soon_threadsafe(self.sidecar.carry_out)
+
+    def _snapshot(self) -> Mapping[str, Any]:
+        """What the next process is told."""
+        known = self.sidecar.known
+        clients, nodes = self.sidecar.open
+        return {"list": list_to_json(known.version, known.lines), "clients": clients, "nodes": nodes}
+
+    def _share(self, shared: bool) -> None:
+        """Take a part of the limits, or all: another process of this sidecar has come, or ended."""
+        if shared:
+            self._bound([parts(self.sidecar.connections_most, each).old for each in self.sidecar.open])
+        else:
+            self.sidecar.bound(None, None)
+
+    def _bound(self, most: list[int]) -> None:
+        self.sidecar.bound(most[0], most[1])
+
+
+def _told(config: Config, known: Mapping[str, Any]) -> Config:
+    """The configuration with the list as the process before had it, where that is one."""
+    try:
+        return replace(config, known=parse_list(known.get("list")))
+    except ValueError as junk:
+        log.warning("the list of the process before is not taken: %s", junk)
+        return config
+
+
+def _count(value: object) -> int:
+    return value if type(value) is int and value >= 0 else 0
