Bodies up to 32 MB: requests spooled, answers passed on in pieces, all forms of HTTP/1.1

Cause of the loss: 64 KiB was the most a body could have, and clients that took over 2 s for a head or body were cut off. core/body.py spools requests in one nameless file and hands answers on as a stream with back-pressure; the carrier begins one at its head or once 64 KiB are here, the front frames it by length, in chunks, or for HTTP/1.0 by the connection's end. Limits of a client's connection count from its last progress. Empty lines ahead of a request, absolute targets and headers named by Connection are understood; HTTP/2.0 on a request line is refused.

--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,345 @@
+"""Bodies of any size, in pieces cut anywhere, over loopback: what is passed on is what came, and has one end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import re
+from collections.abc import AsyncIterator
+
+import pytest
+from loopback import PATIENCE_S, FakeServer, answer, play, read_answer, request, until, world
+
+from topazbank.core.body import CHUNK, Intake, Large, NoRoom, Spool
+
+BIG = hashlib.shake_256(b"body").digest(3 * CHUNK + 77)
+
+
+def served(*_: object) -> bytes:
+    return answer(200, b"served")
+
+
+async def head_and_rest(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    """A client's view of an answer: its head, and all that follows until the connection ends."""
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+    rest = b""
+    with contextlib.suppress(ConnectionError):
+        while more := await asyncio.wait_for(reader.read(65536), PATIENCE_S):
+            rest += more
+    return head, rest
+
+
+def unchunked(data: bytes) -> tuple[bytes, bool]:
+    """What chunks hold, and whether the last one is there."""
+    body = b""
+    while found := re.match(rb"([0-9a-f]+)\r\n", data):
+        size = int(found[1], 16)
+        if size == 0:
+            return body, True
+        body += data[found.end() : found.end() + size]
+        data = data[found.end() + size + 2 :]
+    return body, False
+
+
+@contextlib.asynccontextmanager
+async def held_answer(
+    *parts: bytes,
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter, FakeServer]]:
+    """A client that has asked, and a server that has begun to answer with these bytes."""
+    async with world(lambda *_: None) as w:
+        reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address, limit=2**25)
+        writer.write(request("pay", body=b"x", Connection="close"))
+        await until(w.sent)
+        for part in parts:
+            w.servers[0].writers[-1].write(part)
+        yield reader, writer, w.servers[0]
+        writer.close()
+
+
+# -- Requests -----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("size", [CHUNK - 1, CHUNK, CHUNK + 1, 2 * CHUNK, 3 * CHUNK + 5])
+@pytest.mark.parametrize("step", [1000, 65536, 10**9])
+def test_a_request_of_any_size_reaches_its_node_as_it_came(size: int, step: int) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            body = BIG[:size]
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            data = request("pay", body=body)
+            for at in range(0, len(data), step):
+                writer.write(data[at : at + step])
+                await writer.drain()
+            assert (await read_answer(reader))[0] == 200
+            assert w.sent()[0][2] == body
+            writer.close()
+
+    play(scene())
+
+
+def test_chunks_with_extensions_and_trailers_are_one_body() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            head = request("pay", Content_Length=None, Transfer_Encoding="chunked")
+            halves = (BIG[: 2 * CHUNK], BIG[2 * CHUNK :])
+            chunks = b"".join(b"%x;name=value\r\n%b\r\n" % (len(each), each) for each in halves)
+            writer.write(head + chunks + b"0\r\nX-After: all\r\n\r\n")
+            assert (await read_answer(reader))[0] == 200
+            assert w.sent()[0][2] == BIG
+            writer.close()
+
+    play(scene())
+
+
+def test_a_large_request_goes_whole_to_the_next_node_where_the_first_turns_it_away() -> None:
+    def script(first: str, *_: object) -> bytes:
+        return answer(503, b"", X_Rejected="1") if len(seen) == 1 else answer(200, b"second")
+
+    seen: list[str] = []
+
+    def counted(first: str, head: dict[str, str], body: bytes) -> bytes:
+        seen.append(hashlib.sha256(body).hexdigest())
+        return script(first)
+
+    async def scene() -> None:
+        async with world(counted, counted) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request("pay", body=BIG))
+            status, _, body = await read_answer(reader)
+            assert (status, body) == (200, b"second")
+            assert seen == [hashlib.sha256(BIG).hexdigest()] * 2
+            writer.close()
+
+    play(scene())
+
+
+def test_the_spool_is_empty_again_once_requests_are_over_or_broken_off() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            spool = w.sidecar.frontend.hooks.spool
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request("pay", body=BIG)[:-1])
+            await until(lambda: spool.used)
+            writer.transport.abort()
+            await until(lambda: not spool.used)
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request("pay", body=BIG))
+            assert (await read_answer(reader))[0] == 200
+            await until(lambda: not spool.used)
+            writer.write(request("unheard-of", body=BIG))
+            assert (await read_answer(reader))[0] == 400
+            await until(lambda: not spool.used)
+            writer.close()
+
+    play(scene())
+
+
+def test_without_room_a_large_request_is_refused_and_small_ones_are_served() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            w.sidecar.frontend.hooks.spool = Spool(None, CHUNK)
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request("pay", body=BIG))
+            assert (await read_answer(reader))[0] == 503
+            assert not w.sent() and (await w.ask())[0] == 200
+            writer.close()
+
+    play(scene())
+
+
+def test_a_spool_uses_its_chunks_again_and_keeps_its_bound() -> None:
+    spool = Spool(None, 3 * CHUNK)
+    intake = Intake(spool)
+    intake.add(BIG[: 2 * CHUNK + 5])
+    first = intake.whole()
+    assert isinstance(first, Large) and b"".join(first.pieces()) == BIG[: 2 * CHUNK + 5]
+    assert b"".join(first.pieces()) == BIG[: 2 * CHUNK + 5]  # read anew
+    with pytest.raises(NoRoom):
+        intake.add(BIG[: CHUNK + 1])
+    intake.drop()
+    first.release()
+    first.release()
+    assert spool.used == 0
+    intake.add(BIG[:CHUNK])
+    assert intake.whole() == BIG[:CHUNK]
+    spool.close()
+
+
+# -- Answers ------------------------------------------------------------------------------------------
+
+
+def test_a_large_answer_is_passed_on_from_its_first_bytes_on() -> None:
+    async def scene() -> None:
+        told = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BIG)
+        async with held_answer(told + BIG[:10]) as (reader, _, server):
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+            assert b"Content-Length: %d" % len(BIG) in head
+            assert await asyncio.wait_for(reader.readexactly(10), PATIENCE_S) == BIG[:10]
+            server.writers[-1].write(BIG[10:])
+            assert await asyncio.wait_for(reader.readexactly(len(BIG) - 10), PATIENCE_S) == BIG[10:]
+
+    play(scene())
+
+
+@pytest.mark.parametrize("step", [7001, 10**9])
+def test_a_large_answer_in_chunks_is_passed_on_in_chunks(step: int) -> None:
+    async def scene() -> None:
+        chunks = [BIG[at : at + step] for at in range(0, len(BIG), step)]
+        coded = b"".join(b"%x\r\n%b\r\n" % (len(each), each) for each in chunks) + b"0\r\n\r\n"
+        async with held_answer(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", coded) as (
+            reader,
+            *_,
+        ):
+            head, rest = await head_and_rest(reader)
+            assert b"chunked" in head and unchunked(rest) == (BIG, True)
+
+    play(scene())
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    ],
+)
+def test_a_large_answer_that_breaks_off_is_cut_so_that_the_client_can_tell(head: bytes) -> None:
+    async def scene() -> None:
+        chunked = b"chunked" in head
+        data = b"%x\r\n%b\r\n" % (len(BIG), BIG) if chunked else BIG
+        first = head if chunked else head % (len(BIG) + 1)
+        async with held_answer(first + data) as (reader, _, server):
+            await asyncio.sleep(0.05)
+            server.writers[-1].close()
+            _, rest = await head_and_rest(reader)
+            assert not unchunked(rest)[1] if chunked else len(rest) <= len(BIG)
+
+    play(scene())
+
+
+def test_an_answer_that_says_it_ends_with_its_connection_is_whole_at_its_end() -> None:
+    async def scene() -> None:
+        for body in (b"small", BIG):
+            data = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body
+            async with held_answer(data) as (reader, _, server):
+                await asyncio.sleep(0.02)
+                server.writers[-1].close()
+                head, rest = await head_and_rest(reader)
+                whole = unchunked(rest) if b"chunked" in head else (rest, True)
+                assert whole == (body, True)
+
+    play(scene())
+
+
+def test_a_client_that_stops_reading_holds_up_its_own_answer_alone() -> None:
+    async def scene() -> None:
+        size = 32 * 1024 * 1024
+        async with held_answer(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size) as (
+            reader,
+            writer,
+            server,
+        ):
+            assert isinstance(writer.transport, asyncio.Transport)
+            writer.transport.pause_reading()
+            giving = server.writers[-1]
+            for _ in range(size // CHUNK):
+                giving.write(bytes(CHUNK))
+            before = -1
+            while before != giving.transport.get_write_buffer_size():  # until nothing moves any more
+                before = giving.transport.get_write_buffer_size()
+                await asyncio.sleep(0.2)
+            assert before > 0  # the kernel holds a few MB, the sidecar a piece
+            writer.transport.resume_reading()
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+            assert len(await asyncio.wait_for(reader.readexactly(size), PATIENCE_S)) == size
+
+    play(scene())
+
+
+def test_a_client_that_leaves_in_the_middle_ends_what_its_node_still_gives() -> None:
+    async def scene() -> None:
+        async with held_answer(b"HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n") as (
+            reader,
+            writer,
+            server,
+        ):
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+            writer.transport.abort()
+            await until(lambda: server.closed)
+
+    play(scene())
+
+
+def test_a_client_of_http_1_0_gets_a_large_answer_until_the_connection_ends() -> None:
+    async def scene() -> None:
+        async with world(lambda *_: None) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request("pay", body=b"x").replace(b"HTTP/1.1", b"HTTP/1.0"))
+            await until(w.sent)
+            chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(BIG), BIG)
+            w.servers[0].writers[-1].write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk)
+            head, rest = await head_and_rest(reader)
+            assert b"chunked" not in head and rest == BIG
+            writer.close()
+
+    play(scene())
+
+
+# -- Forms --------------------------------------------------------------------------------------------
+
+
+def test_every_cut_of_a_request_reads_the_same() -> None:
+    async def scene() -> None:
+        async with world(lambda first, head, body: answer(200, body)) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            chunked = request("pay", Content_Length=None, Transfer_Encoding="chunked")
+            forms = [
+                request("pay", body=b"plain body"),
+                chunked + b"5;a=b\r\nplain\r\n5\r\n body\r\n0\r\nX-T: 1\r\n\r\n",
+                b"\r\n" + request("pay", body=b"plain body"),
+                request("pay", body=b"plain body").replace(b" /api", b" http://app.svc/api"),
+            ]
+            number = 0
+            for form in forms:
+                for cut in range(1, len(form), 3):
+                    number += 1
+                    data = re.sub(rb"X-Call-Id: [^\r]*", b"X-Call-Id: %06d" % number, form)
+                    writer.write(data[:cut])
+                    await asyncio.sleep(0)
+                    await asyncio.sleep(0.001)
+                    writer.write(data[cut:])
+                    status, _, body = await read_answer(reader)
+                    assert (status, body) == (200, b"plain body"), data[:cut]
+            assert all(first.split()[1].startswith("/api") for first, *_ in w.sent())
+            writer.close()
+
+    play(scene())
+
+
+def test_headers_that_a_client_names_as_its_connections_own_are_not_passed_on() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request("pay", body=b"x", Connection="keep-alive, X-Hop", X_Hop="1", X_Kept="2"))
+            assert (await read_answer(reader))[0] == 200
+            _, headers, _ = w.sent()[0]
+            assert "x-hop" not in headers and headers["x-kept"] == "2"
+            writer.close()
+
+    play(scene())
+
+
+def test_a_head_that_takes_two_seconds_is_waited_for() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            data = request("pay", body=b"x")
+            writer.write(data[:20])
+            await asyncio.sleep(2.3)
+            writer.write(data[20:])
+            assert (await read_answer(reader))[0] == 200
+            writer.close()
+
+    play(scene())
--- a/topazbank/core/call.py
+++ b/topazbank/core/call.py
@@ -8,14 +8,15 @@
 
 import re
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, auto, unique
 
+from topazbank.core.body import Large, Spool, Stream
 from topazbank.interface import Outcome, Repeat, ServiceClass, Settings
 
 Headers = list[tuple[bytes, bytes]]
 
-BODY_MOST = 64 * 1024  # bytes of a request's or an answer's body, as the platform's protocol has it
+BODY_MOST = 64 * 1024  # bytes of a body that is held whole in memory; MessagePack-RPC takes no larger one
 IDENT_MOST = 256  # characters of a call's id, tenant or idempotency key; longer ones fill tables and logs
 OVER_DEADLINE = 1.1  # a budget may exceed its class's deadline by rounding, no more
 API_PATH = b"/api"
@@ -49,6 +50,7 @@
     body: bytes = b""
     about: Headers | None = None  # what a node said of its body: content-type, content-encoding
     retry_after_us: int = 0  # with REFUSED: when to come back; 0 where nothing is advised
+    stream: Stream | None = None  # with SERVED: a large body, of which only the first bytes are here
 
 
 FAILED = Answer(Verdict.FAILED)
@@ -74,6 +76,14 @@
     headers: Headers | None = (
         None  # from an HTTP front: the request's end-to-end headers, which go on unchanged
     )
+    large: Large | None = None  # a body over BODY_MOST, in place of `body`
+    streams: bool = False  # whether its front can pass on an answer that has only begun
+
+    def release(self) -> None:
+        """Nothing is sent for it any more."""
+        large, self.large = self.large, None
+        if large is not None:
+            large.release()
 
 
 @dataclass(slots=True)
@@ -83,6 +93,7 @@
     body: bytes
     about: Headers | None = None
     report: Mapping[str, float] | None = None  # its load report, of the columns that the settings name
+    stream: Stream | None = None  # the body, where it has only begun
 
 
 Ended = Callable[[Outcome, Response | None], None]  # hears an attempt's outcome, exactly once
@@ -97,6 +108,7 @@
     is_out: Callable[[str], bool]  # whether a request with this id is unanswered, or an attempt of it out
     ready: Callable[[], bool]
     roster: Callable[[], bytes] | None = None  # the list as it stands, as JSON; None: nobody may ask
+    spool: Spool = field(default_factory=lambda: Spool(None))  # where large bodies are kept
 
 
 class Rulebook:
@@ -125,7 +137,7 @@
         """What a class says of its requests: how they come, and how long they may take."""
         if len(call.ident) > IDENT_MOST:
             raise BadCall(400, "x-call-id is too long")
-        if call.kind.repeat is Repeat.SAFE and call.body:
+        if call.kind.repeat is Repeat.SAFE and (call.body or call.large is not None):
             raise BadCall(400, "a body belongs to no request that is safe to repeat")
         if call.kind.repeat is Repeat.KEYED and not call.idempotency_key:
             raise BadCall(400, "idempotency-key is missing")  # servers could not drop its repeats
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -19,6 +19,7 @@
 from typing import Any, Protocol
 
 from topazbank.balancer import Balancer
+from topazbank.core.body import Spool
 from topazbank.core.call import FAILED, Answer, Call, Hooks, Response, Rulebook, Verdict
 from topazbank.core.listener import Frontend, Speaks
 from topazbank.core.listing import Listing
@@ -30,6 +31,7 @@
 from topazbank.core.trace import Trace
 from topazbank.interface import (
     Action,
+    AnswerStarted,
     AttemptEnded,
     Cancel,
     CloseIdle,
@@ -96,6 +98,9 @@
     sent: int = 0  # attempts so far
     out: dict[int, Attempt | None] = field(default_factory=dict)  # those that have not ended, by number
     backstop: Timer | None = None
+    began: tuple[int, int] | None = (
+        None  # the attempt whose large answer is passed on, and when its first bytes came
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,7 +196,9 @@
         self.drain = Drain(max(each.deadline_us for each in settings.classes) / 1e6)
         self._looking: asyncio.TimerHandle | None = None  # at what holds, while the sidecar is emptied
         self._over = asyncio.Event()
-        hooks = Hooks(self._taken, self._gone, self._out.__contains__, self.drain.is_ready, roster)
+        self._spool = Spool(config.folder)
+        ready = self.drain.is_ready
+        hooks = Hooks(self._taken, self._gone, self._out.__contains__, ready, roster, self._spool)
         self.frontend = Frontend(
             config.listen, half, hooks, Rulebook(settings), wiring.text, wiring.binary, clients
         )
@@ -245,6 +252,7 @@
         if self._peers is not None:
             self._peers.stop()
         await self._nodes.close()
+        self._spool.close()
 
     def move_discovery(self, address: Address) -> None:
         """Go on with discovery at another address; also where it is the same, asked for by name."""
@@ -413,6 +421,7 @@
         if live.answered and not live.out:
             self._live.pop(live.ident, None)
             self._out.discard(live.call.ident)
+            live.call.release()
 
     def _refuse(self, action: Refuse) -> None:
         live = self._live.get(action.request)
@@ -448,6 +457,18 @@
             raise
         if index in live.out:
             live.out[index] = attempt
+            attempt.began = partial(self._answer_began, live, index, action.server, self._clock.now())
+
+    def _answer_began(self, live: Live, index: int, server: str, sent_at: int, response: Response) -> None:
+        """The first bytes of a large answer are here: that is its time, however long the rest takes."""
+        if live.answered:  # by another attempt, or its client has left
+            if response.stream is not None:
+                response.stream.give_up()
+            return
+        elapsed = self._clock.now() - sent_at
+        live.began = (index, elapsed)
+        self._answer(live, Answer(Verdict.SERVED, response.body, response.about, stream=response.stream))
+        self.handle(AnswerStarted(live.ident, index, server, elapsed))
 
     def _attempt_ended(
         self, live: Live, index: int, server: str, sent_at: int, outcome: Outcome, response: Response | None
@@ -458,6 +479,8 @@
         if outcome is Outcome.DELIVERED and response is not None:
             self._answer(live, Answer(Verdict.SERVED, response.body, response.about))
         elapsed = self._clock.now() - sent_at
+        if live.began is not None and live.began[0] == index:
+            elapsed = live.began[1]
         report = response.report if response is not None else None
         if self._observer is not None:
             self._observer.ended(server, outcome is Outcome.DELIVERED, elapsed, report)
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -36,17 +36,27 @@
     """What a client's connection is about; each phase but OPEN has a limit."""
 
     WAITING = auto()  # it is new, or a request has begun to come
+    COMING = auto()  # a request's head is here, and its body comes
     OPEN = auto()  # a request is held; the driver answers it in its time
     BEHIND = auto()  # the same, and half a request waits behind it
+    TAKING = auto()  # its client takes a large answer, and has not taken what is here
     RESTING = auto()  # it has carried requests, and nothing comes
     KEPT = auto()  # the same, of a protocol whose clients hold on to their connections
     LEAVING = auto()  # its last answer is still being taken
 
 
-LIMITS_S = {Phase.WAITING: 2.0, Phase.BEHIND: 2.0, Phase.RESTING: 2.0, Phase.KEPT: 60.0, Phase.LEAVING: 1.0}
+LIMITS_S = {
+    Phase.WAITING: 5.0,  # a client may take 2 s for a head
+    Phase.COMING: 10.0,  # since the last byte
+    Phase.BEHIND: 2.0,
+    Phase.TAKING: 60.0,  # at 64 kB a second the kernel asks for more only every so often
+    Phase.RESTING: 2.0,
+    Phase.KEPT: 60.0,
+    Phase.LEAVING: 5.0,
+}
 _AT_REST = (Phase.RESTING, Phase.KEPT)
 _CLOSABLE = (Phase.WAITING, *_AT_REST)
-_NOT_BUSY = (*_AT_REST, Phase.LEAVING)
+_NOT_BUSY = (*_AT_REST, Phase.COMING, Phase.TAKING, Phase.LEAVING)
 
 
 class ClientConnection(Reader):
@@ -231,6 +241,7 @@
             or self._quiet(Phase.RESTING)
             or self._quiet(Phase.KEPT)
             or self._quiet(Phase.WAITING)
+            or self._quiet(Phase.COMING, grown)
         )
         if chosen is None:
             return False
@@ -275,9 +286,11 @@
     def opened(self, connection: ClientConnection) -> None:
         self._phases[connection.phase][connection] = asyncio.get_running_loop().time()
 
-    def move(self, connection: ClientConnection, phase: Phase) -> None:
-        """Note a connection's phase; one that it is in already goes on."""
-        if connection.phase is not phase and self._phases[connection.phase].pop(connection, None) is not None:
+    def move(self, connection: ClientConnection, phase: Phase, again: bool = False) -> None:
+        """Note a connection's phase; one that it is in already goes on, or with `again` begins anew."""
+        if (again or connection.phase is not phase) and self._phases[connection.phase].pop(
+            connection, None
+        ) is not None:
             connection.phase = phase
             self.opened(connection)
             if phase in _AT_REST and len(self._phases[phase]) > self._most_at_rest:
--- a/topazbank/core/nodes.py
+++ b/topazbank/core/nodes.py
@@ -42,8 +42,18 @@
         self.endpoint = endpoint
         self.until = until  # on the event loop's clock
         self.ended: Ended | None = ended
+        self.began: Callable[[Response], None] | None = (
+            None  # hears of an answer that is passed on as it comes
+        )
         self.timers: list[Timer] = []
 
+    def begin(self, response: Response) -> None:
+        """A large answer has begun: it is its client's now, and no longer bounded by the attempt's time."""
+        for timer in self.timers:
+            timer.cancel()
+        if self.began is not None and self.ended is not None:
+            self.began(response)
+
     def end(self, outcome: Outcome, response: Response | None = None) -> None:
         """Tell the outcome, once; what comes later is nobody's."""
         ended, self.ended = self.ended, None
--- a/topazbank/http/connection.py
+++ b/topazbank/http/connection.py
@@ -5,19 +5,22 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
 import h11
 
+from topazbank.core.body import LARGE_MOST, Stream
 from topazbank.core.call import Headers
 from topazbank.core.net import Address, Reader, is_quiet, new_socket
 from topazbank.http.whole import read_response
 
 log = logging.getLogger(__name__)
 
+_PIECES_AT_ONCE = 16  # of a large body, before others have their turn
+_STREAM_STALL_S = 20.0  # a server that gives nothing more of a large answer for so long has gone
 _HINTS_MOST = 8  # 1xx answers ahead of the one that counts
 _FRAMING = (b"content-length", b"transfer-encoding")
 _BODILESS = (204, 304)  # statuses whose answers hold no body, whatever their head says
@@ -48,11 +51,12 @@
 
 @dataclass(slots=True)
 class HttpResponse:
-    """A whole answer."""
+    """An answer: whole, or the beginning of a large one."""
 
     status: int
     headers: Headers
     body: bytes
+    stream: Stream | None = None  # it has only begun: this is the rest
 
     def header(self, name: bytes) -> str | None:
         return next((v.decode("latin-1") for n, v in self.headers if n == name), None)
@@ -87,7 +91,12 @@
         self._head: h11.Response | None = None
         self._headers: Headers = []  # its: h11 makes each pair anew whenever they are gone through
         self._body = bytearray()
+        self._rest: Iterator[bytes] | None = None  # of the request: pieces that are not written yet
+        self._may_stream = False  # whether a large answer is passed on as it comes
+        self._stream: Stream | None = None  # the one that is
+        self._paused = False  # whether it waits for its client
         self.on_lost: Callable[[], None] = lambda: None
+        self.on_stream_end: Callable[[bool], None] = lambda whole: None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -102,21 +111,60 @@
     def is_idle(self) -> bool:
         """Whether it may carry another request: guards against EOF or bytes that nobody has read yet."""
         open_ = self._transport is not None and not self._transport.is_closing()
-        return open_ and self.reusable and self._ended is None and is_quiet(self.sock)
-
-    def request(self, data: bytes, ended: Callable[[HttpResponse | None], None]) -> None:
-        """Write a request; `ended` is called once, with the whole answer or with None if it broke."""
+        busy = self._ended is not None or self._stream is not None
+        return open_ and self.reusable and not busy and is_quiet(self.sock)
+
+    def request(
+        self,
+        data: bytes,
+        ended: Callable[[HttpResponse | None], None],
+        rest: Iterator[bytes] | None = None,
+        may_stream: bool = False,
+    ) -> None:
+        """Write a request; `ended` is called once, with the answer or with None if it broke.
+
+        `rest`: of its body, pieces to be written as the server takes them.  `may_stream`: an answer over the bound is
+        given as soon as it has begun; `on_stream_end` then tells of its end.
+        """
         assert self._transport is not None
         self._ended, self._written, self._hints = ended, False, 0
         self._h11 = None
-        self._transport.write(data)
-        # A failed write closes the transport and empties its buffer, with nothing of it sent.
-        self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
+        self._rest, self._may_stream = rest, may_stream
+        self._write(data)
+
+    def _write(self, data: bytes) -> None:
+        """Write this, and what follows as far as the kernel takes it at once."""
+        transport = self._transport
+        assert transport is not None
+        for _ in range(_PIECES_AT_ONCE):
+            transport.write(data)
+            # A failed write closes the transport and empties its buffer, with nothing of it sent.
+            if transport.is_closing() or transport.get_write_buffer_size():
+                return  # the next piece is written once this one is
+            data = next(self._rest, b"") if self._rest is not None else b""
+            if not data:
+                self._written = True
+                return
+        asyncio.get_running_loop().call_soon(self._write_on, data)
+
+    def _write_on(self, data: bytes) -> None:
+        if self._ended is not None and self._transport is not None and not self._transport.is_closing():
+            self._write(data)
 
     def resume_writing(self) -> None:
-        self._written = self._ended is not None
+        if self._ended is None:
+            return
+        data = next(self._rest, b"") if self._rest is not None else b""
+        if data:
+            self._write(data)
+        else:
+            self._written = True
 
     def data_received(self, data: bytes) -> None:
+        if self._stream is not None:
+            self._feed(data)
+            self._wait_for_more(_STREAM_STALL_S)
+            return
         if self._ended is None:
             self.abort()  # stray bytes: what they answer is anyone's guess
             return
@@ -126,14 +174,60 @@
                 self._finish(HttpResponse(*whole), True)
                 return
         self._feed(data)
-        if self._stall is None and self._stall_s is not None and self._has_begun():
-            self._stall = asyncio.get_running_loop().call_later(self._stall_s, self._spoil, "it stalled")
+        if self._stall_s is not None and self._has_begun():
+            self._wait_for_more(_STREAM_STALL_S if self._stream is not None else self._stall_s)
+
+    def _wait_for_more(self, limit_s: float) -> None:
+        """What has begun goes on within this time, or is given up."""
+        self._end_stall()
+        if not self._paused and (self._ended is not None or self._stream is not None):
+            self._stall = asyncio.get_running_loop().call_later(limit_s, self._spoil, "it stalled")
 
     def eof_received(self) -> bool:
-        if self._ended is not None:
+        if self._ended is not None or self._stream is not None:
             self._feed(b"")
         return False
 
+    # -- Large answers: passed on as they come --------------------------------------------------------
+
+    def _begin_stream(self, length: int | None) -> None:
+        """Give what is here; the rest follows as the client takes it."""
+        assert self._head is not None
+        if not self._written:
+            self._spoil("it came before its request was written")
+            return
+        self._end_stall()
+        stream = Stream(length, bytes(self._body), self._pause, self.abort)
+        self._stream, self._body = stream, bytearray()
+        ended, self._ended = self._ended, None
+        if ended is not None:
+            ended(HttpResponse(self._head.status_code, self._headers, b"", stream))
+
+    def _pause(self, paused: bool) -> None:
+        """Stop reading while the client does not take what is here."""
+        if self._transport is None or self._transport.is_closing() or paused is self._paused:
+            return
+        self._paused = paused
+        if paused:
+            self._end_stall()
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+            self._wait_for_more(_STREAM_STALL_S)
+
+    def _end_stream(self, whole: bool, reusable: bool = False) -> None:
+        stream, self._stream = self._stream, None
+        if stream is None:
+            return
+        self._head = None
+        self._end_stall()
+        if self._paused:
+            self._pause(False)
+        if not reusable or not self._written:
+            self.abort()
+        stream.end(whole)
+        self.on_stream_end(whole)
+
     def _has_begun(self) -> bool:
         """Whether a part of the answer is here, and not all of it."""
         begun = self._h11 is not None and bool(self._h11.trailing_data[0])
@@ -149,6 +243,8 @@
         except h11.RemoteProtocolError as broken:
             if data:
                 self._spoil(str(broken))
+            elif self._stream is not None:
+                self._end_stream(False)
             else:
                 self._finish(None)  # cut short by the end of the connection
 
@@ -156,7 +252,10 @@
         """Give up on an answer that is none: the request ran, and the connection is of no further use."""
         log.debug("answer spoilt: %s", why)
         self.spoilt = True
-        self._finish(None)
+        if self._stream is not None:
+            self._end_stream(False)
+        else:
+            self._finish(None)
 
     def _next_event(self, reader: h11.Connection) -> bool:
         event = reader.next_event()
@@ -169,20 +268,33 @@
             self._head, self._headers = event, list(event.headers)
             length = next((v for n, v in self._headers if n == b"content-length"), b"0")
             if int(length) > self._body_most:
-                self._spoil("too long by its own account")
-                return False
+                return self._is_too_long(int(length))
             return not self._is_all_here(reader)
         elif isinstance(event, h11.Data):
+            if self._stream is not None:
+                self._stream.piece(data_of(event))
+                return self._stream is not None
             self._body += data_of(event)
             if len(self._body) > self._body_most:
-                self._spoil("too long")
-                return False
+                return self._is_too_long(None)
         elif isinstance(event, h11.EndOfMessage):
             done = reader.our_state is h11.DONE and reader.their_state is h11.DONE
+            if self._stream is not None:
+                self._end_stream(True, done and not reader.trailing_data[0])
+                return False
             self._finish(self._response(), done and not reader.trailing_data[0])
             return False
         return not isinstance(event, h11.ConnectionClosed | type(h11.NEED_DATA))
 
+    def _is_too_long(self, length: int | None) -> bool:
+        """An answer is over the bound: pass it on as it comes, or give up on it; say whether more is to be read."""
+        served = self._head is not None and self._head.status_code == 200
+        if self._may_stream and served and (length or 0) <= LARGE_MOST:
+            self._begin_stream(length)
+        else:
+            self._spoil("too long")
+        return self._stream is not None
+
     def _is_all_here(self, reader: h11.Connection) -> bool:
         """Finish at once with a body that came with its head, as most do: that spares h11 two events."""
         assert self._head is not None
@@ -201,9 +313,17 @@
         if head is None:
             return None
         response = HttpResponse(head.status_code, self._headers, bytes(self._body))
-        framed = response.header(b"content-length") or response.header(b"transfer-encoding")
-        # An answer that ends with its connection can't be told from one cut short.
-        return response if framed is not None or head.status_code in _BODILESS else None
+        return response if head.status_code in _BODILESS or self._is_framed() else None
+
+    def _is_framed(self) -> bool:
+        """Whether its end can be told: by its framing, or by that of a connection that is said to end with it.
+
+        Any other answer that ends with its connection can't be told from one cut short.
+        """
+        if any(name in _FRAMING for name, _ in self._headers):
+            return True
+        said = (value.lower() for name, value in self._headers if name == b"connection")
+        return any(b"close" in each for each in said)
 
     def _finish(self, response: HttpResponse | None, reusable: bool = False) -> None:
         ended, self._ended = self._ended, None
@@ -220,6 +340,7 @@
         ended, self._ended = self._ended, None
         if ended is not None:
             ended(None)
+        self._end_stream(False)
         self.on_lost()
 
     def _end_stall(self) -> None:
--- a/topazbank/http/front.py
+++ b/topazbank/http/front.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import re
 import socket
+import struct
 from collections.abc import Callable
+from functools import partial
 
 import h11
 
+from topazbank.core.body import LARGE_MOST, Intake, Large, NoRoom, Stream
 from topazbank.core.call import (
     API_PATH,
     BODY_MOST,
@@ -46,15 +50,17 @@
     )
 )
 _FRAMING = (b"content-length", b"transfer-encoding")
+_ABSOLUTE = re.compile(rb"https?://[^/?#]*", re.IGNORECASE)
 _NUMBER = re.compile(r"[0-9]{1,10}(\.[0-9]{1,9})?", re.ASCII)
 
 
 def parse_call(
-    head: h11.Request | RequestHead, body: bytes, rules: Rulebook, answer: Callable[[Answer], None]
+    head: h11.Request | RequestHead, body: bytes | Large, rules: Rulebook, answer: Callable[[Answer], None]
 ) -> Call:
     """Read a request of a client; raise BadCall where it makes no sense or breaks the settings."""
     given: dict[bytes, str] = {}
     headers = list(head.headers)  # h11 makes each pair anew whenever they are gone through
+    target = own_form(head.target)
     for name, value in headers:
         if name in _SINGLE and name in given:
             raise BadCall(400, f"{name.decode()} stands twice")
@@ -73,10 +79,10 @@
     call = Call(
         ident=given[b"x-call-id"],
         kind=kind,
-        target=head.target,
-        body=body,
+        target=target,
+        body=body if isinstance(body, bytes) else b"",
         tenant=rules.tenant(caller),
-        key=target_key(head.target),
+        key=target_key(target),
         budget_us=int(budget * 1e6),
         cost_us=int(_number(cost, "x-call-cost")) if cost else None,
         again=given.get(b"x-again") == "1",
@@ -84,12 +90,30 @@
         answer=answer,
         caller=caller,
         about=[each for each in headers if each[0] in ABOUT_BODY],
-        headers=end_to_end(headers, b"content-length", b"x-budget", b"expect"),
+        headers=end_to_end(
+            headers, b"content-length", b"x-budget", b"expect", *_named_by_connection(headers)
+        ),
+        large=None if isinstance(body, bytes) else body,
+        streams=True,
     )
     rules.check(call)
     return call
 
 
+def own_form(target: bytes) -> bytes:
+    """Path and query of a request's target, which may name the whole address (RFC 9112, 3.2.2)."""
+    whole = _ABSOLUTE.match(target)
+    return target if whole is None else target[whole.end() :] or b"/"
+
+
+def _named_by_connection(headers: Headers) -> list[bytes]:
+    """Headers that a client says belong to its connection alone; never those that a call is made of."""
+    named = [
+        each.strip() for name, value in headers if name == b"connection" for each in value.lower().split(b",")
+    ]
+    return [each for each in named if each not in _SINGLE and each != b"host"]
+
+
 def _number(text: str, name: str) -> float:
     if not _NUMBER.fullmatch(text):
         raise BadCall(400, f"{name}: a number is needed")
@@ -103,8 +127,11 @@
         super().__init__(frontend, sock)
         self._h11 = h11.Connection(h11.SERVER)
         self._head: h11.Request | RequestHead | None = None
-        self._body = bytearray()
+        self._body = Intake(frontend.hooks.spool)
         self._call: Call | None = None
+        self._stream: Stream | None = None  # the large answer that is passed on
+        self._chunked = False  # and whether in chunks
+        self._ends = False  # and whether the connection ends with it
         self._stuck = False  # the last answer is not all written yet
         self._dropped: int | None = (
             None  # bytes that came after its end, which are not read; None: it goes on
@@ -126,7 +153,7 @@
         if self._dropped is not None:
             self._drop(len(data))
             return
-        if self._call is None and has_ended(self._sock):
+        if self._call is None and self._stream is None and has_ended(self._sock):
             # Its client has left while the request waited here.  Guards a busy sidecar against work for those
             # that gave up: done for all, it would keep the next ones waiting until they give up too.
             self.abort()
@@ -134,11 +161,14 @@
         if self._is_fresh():
             whole = read_request(data, BODY_MOST)
             if whole is not None:
-                self._head, self._body = whole[0], bytearray(whole[1])
-                self._take(self._whole)
+                self._head = whole[0]
+                self._take(partial(self._whole, whole[1]))
                 return
+            data = data.lstrip(b"\r\n")  # empty lines ahead of a request are passed over (RFC 9112, 2.2)
+        if not data:
+            return
         self._h11.receive_data(data)
-        if self._call is not None:
+        if self._call is not None or self._stream is not None:
             self._look_ahead()
         elif not self._stuck:
             self._read()
@@ -147,29 +177,36 @@
 
     def pause_writing(self) -> None:
         self._stuck = True
+        if self._stream is not None:
+            self._stream.pause(True)
+            self._frontend.move(self, Phase.TAKING)
 
     def resume_writing(self) -> None:
         self._stuck = False
+        if self._stream is not None:
+            self._frontend.move(self, Phase.OPEN)
+            self._stream.pause(False)
+            return
         if self._call is None and self._dropped is None:
             self._next_request()
 
     def is_idle(self) -> bool:
         """Whether it may be closed: no request is held, begun or waiting unread."""
-        begun = self._head is not None or self._h11.trailing_data[0]
+        begun = self._head is not None or self._stream is not None or self._h11.trailing_data[0]
         return not begun and super().is_idle()
 
     def time_up(self) -> None:
         """Its phase has lasted for as long as it may."""
-        if self.phase in (Phase.BEHIND, Phase.LEAVING):
+        if self.phase in (Phase.BEHIND, Phase.LEAVING, Phase.TAKING):
             self.abort()
         elif self.is_idle():
             self.close()
-        elif self.phase is Phase.WAITING and self.is_quiet():
+        elif self.phase in (Phase.WAITING, Phase.COMING) and self.is_quiet():
             self._reject(BadCall(408, "the request took too long to come"))
 
     def _look_ahead(self) -> None:
         """See what came behind the request that is held: what can't be read ends the connection at once."""
-        behind = self._h11.trailing_data[0]
+        behind = self._h11.trailing_data[0].lstrip(b"\r\n")
         ahead = h11.Connection(h11.SERVER)
         ahead.receive_data(behind)
         try:
@@ -178,20 +215,24 @@
             log.info("connection ended: %s", bad)
             self.abort()
             return
-        self._frontend.move(self, Phase.OPEN if whole else Phase.BEHIND)
+        if self._stream is None:
+            self._frontend.move(self, Phase.OPEN if whole else Phase.BEHIND)
         if len(behind) > BODY_MOST and self._transport is not None:
             self._transport.pause_reading()  # it sends ahead; what is held is bounded
 
     def _is_fresh(self) -> bool:
         """Whether nothing of a request has come and none is held."""
-        if self._call is not None or self._stuck or self._head is not None:
+        if self._call is not None or self._stream is not None or self._stuck or self._head is not None:
             return False
         return self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]
 
     def _read(self) -> None:
         """Take what has come, up to the end of one request."""
         self._take(self._events)
-        if self.phase is Phase.RESTING and (self._head is not None or self._h11.trailing_data[0]):
+        if self._head is not None:
+            if self._call is None and self._stream is None:
+                self._frontend.move(self, Phase.COMING, again=True)
+        elif self.phase is Phase.RESTING and self._h11.trailing_data[0]:
             self._frontend.move(self, Phase.WAITING)
 
     def _events(self) -> None:
@@ -205,6 +246,8 @@
             self._reject(bad)
         except h11.RemoteProtocolError as broken:
             self._reject(BadCall(400, str(broken)))
+        except NoRoom as full:
+            self._reject(BadCall(503, str(full)))  # never sent on; there may be room a moment later
         except Exception:
             log.exception("a request could not be handled")  # a defect: its request fails, no other
             if self._head is None:
@@ -218,29 +261,38 @@
             self._head = event
             self._begin(event)
         elif isinstance(event, h11.Data):
-            self._body += data_of(event)
-            if len(self._body) > BODY_MOST:
+            self._body.add(data_of(event))
+            if len(self._body) > LARGE_MOST:
                 raise BadCall(413, "the body is too large")
         elif isinstance(event, h11.EndOfMessage):
-            self._whole()
+            self._whole(self._body.whole())
             return False
         return isinstance(event, h11.Request | h11.Data)
 
     def _begin(self, head: h11.Request) -> None:
+        if head.http_version not in (b"1.0", b"1.1"):
+            raise BadCall(505, "HTTP/1.1 is spoken here")
         framing = {name: value for name, value in head.headers if name in _FRAMING}
         if b"transfer-encoding" in framing and (len(framing) > 1 or head.http_version != b"1.1"):
             raise BadCall(400, "two ways to tell the body's end")  # one may hide a request in the other
-        if int(framing.get(b"content-length", b"0")) > BODY_MOST:
+        if int(framing.get(b"content-length", b"0")) > LARGE_MOST:
             raise BadCall(413, "the body is too large")
         if self._h11.they_are_waiting_for_100_continue and self._transport is not None:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._transport.write(self._h11.send(go_on) or b"")
 
-    def _whole(self) -> None:
+    def _whole(self, body: bytes | Large) -> None:
         """A request has come whole."""
-        head, body = self._head, bytes(self._body)
+        head = self._head
         assert head is not None
-        path = head.target.partition(b"?")[0]
+        path = own_form(head.target).partition(b"?")[0]
+        try:
+            self._serve(head, path, body)
+        finally:
+            if self._call is None and isinstance(body, Large):
+                body.release()  # turned away; what was taken is released once it is over
+
+    def _serve(self, head: h11.Request | RequestHead, path: bytes, body: bytes | Large) -> None:
         if path == _READY_PATH:
             self._answer(200 if self._frontend.hooks.ready() else 503, [], b"")
         elif path == _ROSTER_PATH and self._frontend.hooks.roster is not None:
@@ -263,7 +315,10 @@
 
     def _answer_call(self, answer: Answer) -> None:
         if answer.verdict is Verdict.SERVED:
-            self._answer(200, answer.about or [], answer.body)
+            if answer.stream is not None:
+                self._pass_on(answer.about or [], answer.stream)
+            else:
+                self._answer(200, answer.about or [], answer.body)
         elif answer.verdict is Verdict.REFUSED:
             back = answer.retry_after_us
             self._answer(503, [(b"Retry-After", b"%.3f" % (back / 1e6))] if back else [], b"")
@@ -275,28 +330,90 @@
         self._call = None
         if self._transport is None or self._transport.is_closing():
             return
-        read = isinstance(self._head, RequestHead) or self._h11.their_state is h11.DONE
-        ends = ends or self._frontend.draining or not read
+        ends = ends or self._must_end()
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         if ends:
             headers.append((b"Connection", b"close"))
         if self._head is not None and self._head.method == b"HEAD":
             body = b""
         first = b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b""))
-        self._head, self._body = None, bytearray()
+        self._head = None
+        self._body.drop()
         self._transport.write(message(first, headers, body))
+        self._over(ends)
+
+    def _must_end(self) -> bool:
+        """Whether the connection ends with this answer."""
+        read = isinstance(self._head, RequestHead) or self._h11.their_state is h11.DONE
+        return self._frontend.draining or not read
+
+    def _over(self, ends: bool) -> None:
+        """An answer is written: turn to what came behind its request, or end."""
+        if self._transport is None or self._transport.is_closing():
+            return
         if ends:
             self._linger()
             return
         behind = self._h11.trailing_data[0]
         if behind or self._h11.their_state is not h11.IDLE:
             self._h11 = h11.Connection(h11.SERVER)  # each reads one request; it never hears of answers
+            behind = behind.lstrip(b"\r\n")
             if behind:
                 self._h11.receive_data(behind)
         self._frontend.move(self, Phase.LEAVING if self._stuck else Phase.RESTING)
         if not self._stuck and (behind or not self._transport.is_reading()):
             asyncio.get_running_loop().call_soon(self._next_request)
 
+    # -- Large answers: passed on as they come --------------------------------------------------------
+
+    def _pass_on(self, about: Headers, stream: Stream) -> None:
+        """Begin a large answer; the rest comes by `piece` and `ended`."""
+        self._call = None
+        if self._transport is None or self._transport.is_closing():
+            stream.give_up()
+            return
+        # A client of HTTP/1.0 knows no chunks: for it the connection's end is that of the answer.
+        old = self._head is not None and self._head.http_version != b"1.1"
+        self._ends = self._must_end() or (old and stream.length is None)
+        self._chunked = stream.length is None and not old
+        headers = list(about)
+        if stream.length is not None:
+            headers.append((b"Content-Length", b"%d" % stream.length))
+        elif self._chunked:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        if self._ends:
+            headers.append((b"Connection", b"close"))
+        self._head = None
+        self._stream = stream
+        stream.taker = self
+        self._transport.write(message(b"HTTP/1.1 200 OK", headers) + self._framed(stream.first))
+
+    def _framed(self, data: bytes) -> bytes:
+        return b"%x\r\n%b\r\n" % (len(data), data) if self._chunked and data else data
+
+    def piece(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(self._framed(data))
+
+    def ended(self, whole: bool) -> None:
+        """The answer is over; one that was cut short ends its connection, so that its client can tell."""
+        stream, self._stream = self._stream, None
+        if self._transport is None or self._transport.is_closing():
+            return
+        if not whole:
+            told = self._chunked or (stream is not None and stream.length is not None)
+            self.close() if told else self._reset()
+            return
+        if self._chunked:
+            self._transport.write(b"0\r\n\r\n")
+        self._over(self._ends)
+
+    def _reset(self) -> None:
+        """End with a reset: to a client of HTTP/1.0 an end would say that the answer is whole."""
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.abort()
+
     def _linger(self) -> None:
         """End our side and drop what still comes: closing on unread bytes would reset the answer away."""
         if self._transport is not None and not self._transport.is_closing():
@@ -311,7 +428,9 @@
 
     def _next_request(self) -> None:
         """Turn to what came behind the answered request."""
-        if self._transport is None or self._transport.is_closing() or self._call is not None or self._stuck:
+        if self._transport is None or self._transport.is_closing() or self._stuck:
+            return
+        if self._call is not None or self._stream is not None:
             return
         self._frontend.move(self, Phase.RESTING)
         self._transport.resume_reading()
@@ -319,5 +438,9 @@
 
     def _client_gone(self) -> None:
         call, self._call = self._call, None
+        stream, self._stream = self._stream, None
+        self._body.drop()
+        if stream is not None:
+            stream.give_up()
         if call is not None:
             self._frontend.hooks.gone([call])
--- a/topazbank/http/upstream.py
+++ b/topazbank/http/upstream.py
@@ -9,10 +9,11 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 
+from topazbank.core.body import Stream
 from topazbank.core.call import BODY_MOST, Call, Ended, Response
 from topazbank.core.net import is_up, new_socket
 from topazbank.core.nodes import Attempt, Endpoint, Slots
@@ -47,6 +48,8 @@
         self.pool: Pool = endpoint.pool
         self.order = order
         self.probing = False
+        self.call: Call | None = None  # of an attempt; a probe has none
+        self.report: Mapping[str, float] | None = None  # of an answer that is passed on as it comes
         self.connection: Connection | None = None
         self.dial: asyncio.Task[bool] | None = None
 
@@ -84,7 +87,8 @@
         (b"X-Budget", b"%.6f" % left_s),
     ]
     if call.body or not safe:
-        headers.append((b"Content-Length", b"%d" % len(call.body)))
+        length = call.large.length if call.large is not None else len(call.body)
+        headers.append((b"Content-Length", b"%d" % length))
     first = b"%b %b HTTP/1.1" % (b"GET" if safe else b"POST", call.target)
     return message(first, headers, call.body)
 
@@ -138,7 +142,9 @@
 
     def send(self, endpoint: Endpoint, call: Call, until: float, ended: Ended, *, last: bool) -> Exchange:
         """Start an attempt; giving one up closes its connection, whether it was the last or not."""
-        return self._start(Exchange(endpoint, partial(write_request, call), until, ended))
+        exchange = Exchange(endpoint, partial(write_request, call), until, ended)
+        exchange.call = call
+        return self._start(exchange)
 
     def probe(self, endpoint: Endpoint, until: float, ended: Ended) -> Exchange:
         target = b"/stats" if self._columns else b"/health/live"
@@ -244,19 +250,40 @@
         exchange.connection = connection
         exchange.pool.dialling.discard(exchange)
         left = exchange.until - asyncio.get_running_loop().time()
-        connection.request(exchange.order(max(left, 0.0)), partial(self._answered, exchange, connection))
+        order = exchange.order(max(left, 0.0))
+        answered = partial(self._answered, exchange, connection)
+        call = exchange.call
+        if call is None:
+            connection.request(order, answered)
+        else:
+            rest = call.large.pieces() if call.large is not None else None
+            connection.request(order, answered, rest, call.streams)
 
     def _answered(self, exchange: Exchange, connection: Connection, response: HttpResponse | None) -> None:
+        if response is not None and response.stream is not None:
+            connection.on_stream_end = partial(self._streamed, exchange, connection, response.stream)
+            neutral = self._neutral(exchange, Outcome.DELIVERED, response)
+            exchange.report = neutral.report
+            exchange.begin(neutral)
+            return
         self._put_back(exchange, connection)
         outcome = judge(response, connection.written, connection.spoilt)
         exchange.end(outcome, None if response is None else self._neutral(exchange, outcome, response))
 
+    def _streamed(self, exchange: Exchange, connection: Connection, stream: Stream, whole: bool) -> None:
+        """A large answer has ended."""
+        connection.on_stream_end = lambda whole: None
+        self._put_back(exchange, connection)
+        broken = Outcome.CANCELLED if stream.given_up else Outcome.DROPPED
+        exchange.end(Outcome.DELIVERED if whole else broken, Response(b"", None, exchange.report))
+
     def _neutral(self, exchange: Exchange, outcome: Outcome, response: HttpResponse) -> Response:
         if exchange.probing:
             report = parse_probe(response.body, self._columns) if outcome is Outcome.DELIVERED else None
             return Response(response.body, None, report)
         about = [each for each in response.headers if each[0] in ABOUT_BODY]
-        return Response(response.body, about, parse_report(response.header(b"x-load-report"), self._columns))
+        report = parse_report(response.header(b"x-load-report"), self._columns)
+        return Response(response.body, about, report, response.stream)
 
     def _put_back(self, exchange: Exchange, connection: Connection) -> None:
         """Keep a connection for the next request, for less long than the node keeps it."""
--- a/topazbank/msgpackrpc/upstream.py
+++ b/topazbank/msgpackrpc/upstream.py
@@ -356,7 +356,11 @@
     def send(self, endpoint: Endpoint, call: Call, until: float, ended: Ended, *, last: bool) -> RpcAttempt:
         order: Order = lambda msgid, left: write_call(msgid, call, left)  # noqa: E731
         lodge = call.kind.repeat is Repeat.UNSAFE
-        return self._start(RpcAttempt(endpoint, order, until, ended, lodge, last))
+        attempt = RpcAttempt(endpoint, order, until, ended, lodge, last)
+        if call.large is not None:
+            attempt.end(Outcome.UNSENT)  # larger than a message may be: nodes that speak HTTP may take it
+            return attempt
+        return self._start(attempt)
 
     def probe(self, endpoint: Endpoint, until: float, ended: Ended) -> RpcAttempt:
         method = STATS if self.columns else LIVE
