Room among clients' connections goes by what they have done; drains skip stalled heads

A drain lasted 2.76 s because half-written heads held it to its limit, and the platform starts the next process only after it. A dial for which this sidecar has no descriptor is unsent, not a failed dial: it ejected healthy nodes. 48 descriptors are kept back instead of 64. Tried and dropped: lending the nodes' half to clients.

--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -68,7 +68,9 @@
 _LAG_TOLD_S = 0.05  # and from when on it is logged
 _PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
-_FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
+_FDS_KEPT = (
+    48  # descriptors left for discovery, operators, logs and the runtime, of two processes in an upgrade
+)
 
 
 class Clock:
@@ -199,9 +201,8 @@
         self._spool = Spool(config.folder)
         ready = self.drain.is_ready
         hooks = Hooks(self._taken, self._gone, self._out.__contains__, ready, roster, self._spool)
-        self.frontend = Frontend(
-            config.listen, half, hooks, Rulebook(settings), wiring.text, wiring.binary, clients
-        )
+        rules = Rulebook(settings)
+        self.frontend = Frontend(config.listen, half, hooks, rules, wiring.text, wiring.binary, clients)
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
             Refuse: self._refuse,
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -23,7 +23,10 @@
 _ACCEPTED_AT_ONCE = 64  # connections, before others are looked at again
 _ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
 _SWEEP_S = 0.1  # how often connections are looked at for their limits
-_YOUNG_S = 0.1  # a connection this new may have its request on the way: others make room first
+_YOUNG_S = 0.1  # a connection that moved so lately may have its request on the way: others make room first
+_IDLE_S = 1.0  # one that has said nothing for so long was hardly opened for a request
+_HALTED_S = 2.2  # and a head that has gone no further for so long is hardly going to: a client may take 2 s
+_DRAIN_HALTED_S = 0.3  # and in a drain, a head that has gone no further for so long
 _TRIED_FOR_ROOM = 4  # connections that are looked at for one that can make room
 _LAG_MOST_S = 0.04  # a sweep later than this tells of more work than the CPU can do
 _LEAST_BUSY = 32  # connections that may carry requests, however late all is
@@ -35,7 +38,8 @@
 class Phase(Enum):
     """What a client's connection is about; each phase but OPEN has a limit."""
 
-    WAITING = auto()  # it is new, or a request has begun to come
+    NEW = auto()  # nothing has come on it
+    WAITING = auto()  # a request has begun to come, and its head is not here yet
     COMING = auto()  # a request's head is here, and its body comes
     OPEN = auto()  # a request is held; the driver answers it in its time
     BEHIND = auto()  # the same, and half a request waits behind it
@@ -46,7 +50,8 @@
 
 
 LIMITS_S = {
-    Phase.WAITING: 5.0,  # a client may take 2 s for a head
+    Phase.NEW: 5.0,  # a client may take 2 s for a head
+    Phase.WAITING: 5.0,  # since the last byte; HEAD_S in all
     Phase.COMING: 10.0,  # since the last byte
     Phase.BEHIND: 2.0,
     Phase.TAKING: 60.0,  # at 64 kB a second the kernel asks for more only every so often
@@ -54,15 +59,29 @@
     Phase.KEPT: 60.0,
     Phase.LEAVING: 5.0,
 }
+# Who makes room, and how long it must have been in its phase, or gone no further in it.
+_ROOM_BY = (
+    (Phase.NEW, _IDLE_S),
+    (Phase.WAITING, _HALTED_S),
+    (Phase.RESTING, _YOUNG_S),
+    (Phase.KEPT, _YOUNG_S),
+    (Phase.NEW, _YOUNG_S),
+    (Phase.RESTING, 0.0),
+    (Phase.KEPT, 0.0),
+    (Phase.WAITING, _IDLE_S),
+    (Phase.COMING, _HALTED_S),
+    (Phase.NEW, 0.0),
+    (Phase.WAITING, _YOUNG_S),
+)
 _AT_REST = (Phase.RESTING, Phase.KEPT)
-_CLOSABLE = (Phase.WAITING, *_AT_REST)
+_CLOSABLE = (Phase.NEW, Phase.WAITING, *_AT_REST)
 _NOT_BUSY = (*_AT_REST, Phase.COMING, Phase.TAKING, Phase.LEAVING)
 
 
 class ClientConnection(Reader):
     """One connection of a client; what it speaks is in the class made of this one."""
 
-    phase = Phase.WAITING
+    phase = Phase.NEW
 
     def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
         self._frontend = frontend
@@ -229,30 +248,26 @@
         return sum(map(len, self._phases.values())) + len(self._starting)
 
     def _make_room(self) -> bool:
-        """End a connection that holds no request.
+        """End a connection that holds no request, by what it has done, and only then by age.
 
-        First those that were told their last, then those that say nothing, then the longest at rest.  What is
-        new is spared while there are others: it was opened for a request that may be on its way.
+        First those that were told their last.  Then those at rest: their clients open another when they need one.
+        Then those that have said nothing for long, and those whose head goes no further.  What moved a moment ago is
+        spared while there are others: its request may be on the way.
         """
-        grown = asyncio.get_running_loop().time() - _YOUNG_S
-        chosen = (
-            next(iter(self._phases[Phase.LEAVING]), None)
-            or self._quiet(Phase.WAITING, grown)
-            or self._quiet(Phase.RESTING)
-            or self._quiet(Phase.KEPT)
-            or self._quiet(Phase.WAITING)
-            or self._quiet(Phase.COMING, grown)
-        )
+        now = asyncio.get_running_loop().time()
+        chosen = next(iter(self._phases[Phase.LEAVING]), None)
+        for phase, least_s in _ROOM_BY:
+            chosen = chosen or self._quiet(phase, now - least_s)
         if chosen is None:
             return False
         self.lost(chosen)
         chosen.abort()
         return True
 
-    def _quiet(self, phase: Phase, before: float = float("inf")) -> ClientConnection | None:
+    def _quiet(self, phase: Phase, before: float) -> ClientConnection | None:
         """The longest in a phase, and since before this time, that has sent nothing which is still unread."""
         for _, (connection, since) in zip(range(_TRIED_FOR_ROOM), self._phases[phase].items(), strict=False):
-            if since < before and connection.is_quiet():
+            if since <= before and connection.is_quiet():
                 return connection
         return None
 
@@ -294,7 +309,7 @@
             connection.phase = phase
             self.opened(connection)
             if phase in _AT_REST and len(self._phases[phase]) > self._most_at_rest:
-                oldest = self._quiet(phase)
+                oldest = self._quiet(phase, asyncio.get_running_loop().time())
                 if oldest is not None and oldest.is_idle():
                     self.lost(oldest)
                     oldest.close()
@@ -311,10 +326,19 @@
             self.close_idle(used=not orders.closes_new)
 
     def close_idle(self, used: bool) -> None:
-        """Close what is at rest; with `used`, not what was just opened for a request still on its way."""
-        for connection in self.connections:
-            if connection.is_idle() and (connection.phase in _AT_REST or not used):
-                connection.close()
+        """Close what is at rest; with `used`, not what was just opened for a request still on its way.
+
+        Else also a head that goes no further: it was never taken, and would hold the end of a drain for as long as its
+        limit.  Its client comes again, where others are served.
+        """
+        halted = asyncio.get_running_loop().time() - _DRAIN_HALTED_S
+        for phase in _CLOSABLE:
+            for connection, since in list(self._phases[phase].items()):
+                if used and phase not in _AT_REST:
+                    continue
+                stuck = phase is Phase.WAITING and since < halted and connection.is_quiet()
+                if stuck or connection.is_idle():
+                    connection.close()
 
     def stop(self, succeeded: bool = False) -> None:
         """Listen no more; what waits is taken first, unless another process takes it from the same queue."""
--- a/topazbank/core/nodes.py
+++ b/topazbank/core/nodes.py
@@ -119,13 +119,17 @@
     def is_full(self) -> bool:
         return self.open >= self.most
 
+    def _drop_idle(self) -> bool:
+        fullest = max(self.carriers, key=lambda each: each.most_idle())
+        if not fullest.most_idle():
+            return False
+        fullest.drop_idle()
+        return True
+
     def take(self) -> bool:
         """Take a place for one more connection, perhaps for an idle one elsewhere; say whether there is one."""
-        if self.open >= self.most:
-            fullest = max(self.carriers, key=lambda each: each.most_idle())
-            if not fullest.most_idle():
-                return False
-            fullest.drop_idle()
+        if self.is_full() and not self._drop_idle():
+            return False
         self.open += 1
         return True
 
--- a/topazbank/http/front.py
+++ b/topazbank/http/front.py
@@ -201,7 +201,7 @@
             self.abort()
         elif self.is_idle():
             self.close()
-        elif self.phase in (Phase.WAITING, Phase.COMING) and self.is_quiet():
+        elif self.phase in (Phase.NEW, Phase.WAITING, Phase.COMING) and self.is_quiet():
             self._reject(BadCall(408, "the request took too long to come"))
 
     def _look_ahead(self) -> None:
@@ -232,8 +232,8 @@
         if self._head is not None:
             if self._call is None and self._stream is None:
                 self._frontend.move(self, Phase.COMING, again=True)
-        elif self.phase is Phase.RESTING and self._h11.trailing_data[0]:
-            self._frontend.move(self, Phase.WAITING)
+        elif self._h11.trailing_data[0]:
+            self._frontend.move(self, Phase.WAITING, again=True)
 
     def _events(self) -> None:
         while self._next_event():
--- a/topazbank/http/upstream.py
+++ b/topazbank/http/upstream.py
@@ -169,8 +169,9 @@
             exchange.dial = loop.create_task(self._dial(exchange))
             exchange.dial.add_done_callback(self._dialled)
         else:
+            # The lack is this sidecar's: it says nothing of the server.
             log.warning("no connection to spare for %s", exchange.endpoint.name)
-            exchange.end(Outcome.DIAL_FAILED)
+            exchange.end(Outcome.UNSENT)
         return exchange
 
     def close_idle(self, endpoint: Endpoint) -> None:
--- a/topazbank/msgpackrpc/front.py
+++ b/topazbank/msgpackrpc/front.py
@@ -271,8 +271,10 @@
         """Note what the connection is about now."""
         if self._calls or self._coming is not None:
             phase = Phase.BEHIND if self._decoder.pending and self._coming is None else Phase.OPEN
-        elif self._decoder.pending or not self._used:
+        elif self._decoder.pending:
             phase = Phase.WAITING
+        elif not self._used:
+            phase = Phase.NEW
         else:
             phase = Phase.KEPT
         self._frontend.move(self, phase)
--- a/topazbank/msgpackrpc/upstream.py
+++ b/topazbank/msgpackrpc/upstream.py
@@ -375,7 +375,7 @@
         connection = self._connection(attempt.endpoint, attempt.lodge)
         if connection is None:
             log.warning("no connection to spare for %s", attempt.endpoint.name)
-            attempt.end(Outcome.DIAL_FAILED)
+            attempt.end(Outcome.UNSENT)  # the lack is this sidecar's: it says nothing of the server
             return attempt
         attempt.timers.append(self._timers.at(attempt.until, RpcAttempt.time_up, attempt))
         connection.add(attempt)
