--- a/topazbank/core/bounds.py
+++ b/topazbank/core/bounds.py
@@ -15,7 +15,6 @@
     REACH_PER_BUSY,
 )
 from topazbank.interface import Settings
-from topazbank.membership.registry import SPREAD, WATCH_LEAST_S, watch_s
 from topazbank.sight import asking
 from topazbank.sight.hearsay import EVERY_LEAST_US, SENDERS_MOST
 from topazbank.sight.soundings import ASKED, can_tell
@@ -64,11 +63,11 @@
 def list_calls_a_second(fleet: Fleet, outage: bool) -> float:
     """At the busiest, in the mean of a second: watches that run out, or in an outage calls made again.
 
-    Owners: `membership.registry.watch_s`, and `Balancer._ask_again_later` in an outage.
+    Owners: `sight.asking.watch_s`, and `Balancer._ask_again_later` in an outage.
     """
     if outage:
         return fleet.sidecars / (0.5 * again_most_s(fleet))
-    return fleet.sidecars / max((1.0 - SPREAD) * watch_s(fleet.sidecars), WATCH_LEAST_S)
+    return fleet.sidecars / max((1.0 - asking.SPREAD) * asking.watch_s(fleet.sidecars), asking.WATCH_LEAST_S)
 
 
 def busiest_second(fleet: Fleet, outage: bool) -> float:
--- a/topazbank/membership/registry.py
+++ b/topazbank/membership/registry.py
@@ -14,18 +14,15 @@
 from topazbank.core.net import Address, parse_address
 from topazbank.http.connection import Connection, HttpResponse, connect, message
 from topazbank.interface import ListedServer, ServerState
+from topazbank.sight import asking
 
 log = logging.getLogger(__name__)
 
 _PATH = "/registry/instances"
-WATCH_LEAST_S = 8.0  # how long a watch may wait: a service that fell silent is noticed after it
-WATCH_MOST_S = 60.0  # by the platform
-WATCHES_A_SECOND = 5.0  # that run out, of the whole fleet: as many calls as one registry answers by the way
 _LATE_S = 1.5  # and what it may take beyond that: its news counts as told 2 s after the wait
 _CALL_S = 5.0  # what a call that does not wait may take
 _IDLE_S = 0.1  # between watches that come back at once with nothing, well within the 200 ms of one watch
 _LIST_MOST = 8 * 1024 * 1024
-SPREAD = 0.25  # part of a longer wait that is chance: sidecars that began together do not go on so
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 
@@ -95,14 +92,6 @@
         return None
 
 
-def watch_s(sidecars: int) -> float:
-    """How long a watch may wait, seconds, in a fleet of so many sidecars: all of them share one registry.
-
-    A longer wait harms where the registry falls silent without a word, which is noticed after it.
-    """
-    return max(WATCH_LEAST_S, min(sidecars / WATCHES_A_SECOND, WATCH_MOST_S))
-
-
 class Discovery:
     """Watches the list while that is wanted; each call has a connection of its own."""
 
@@ -116,7 +105,7 @@
     ) -> None:
         """`version`: of the list as last held; `sidecars`: that share the registry; `seed`: of what is chance."""
         self._address = address
-        self._wait_s = watch_s(sidecars)
+        self._wait_s = asking.watch_s(sidecars)
         self._random = random.Random(seed)
         self._version: int | None = version  # None: the whole list is needed, whatever was heard before
         self._told = told
@@ -170,7 +159,9 @@
             if version is None:
                 heard = await self._ask(_PATH, _CALL_S)
             else:
-                wait_s = max(self._wait_s * (1.0 - SPREAD * self._random.random()), WATCH_LEAST_S)
+                wait_s = max(
+                    self._wait_s * (1.0 - asking.SPREAD * self._random.random()), asking.WATCH_LEAST_S
+                )
                 target = f"{_PATH}?after={version}&wait_ms={int(wait_s * 1000)}"
                 heard = await self._ask(target, wait_s + _LATE_S)
             if not heard:
--- a/topazbank/sight/asking.py
+++ b/topazbank/sight/asking.py
@@ -5,6 +5,10 @@
 AGAIN = 0.2  # the first wait after a failed call, of the longest; it doubles
 MOST = 0.25  # the longest wait, of the time allowed without asking: three failed calls still fit
 LAST = 0.8  # or this in a fleet so large that all asking so often would keep the registry down
+WATCH_LEAST_S = 8.0  # how long a watch may wait: a service that fell silent is noticed after it
+WATCH_MOST_S = 60.0  # by the platform
+WATCHES_A_SECOND = 5.0  # that run out, of the whole fleet: as many calls as one registry answers by the way
+SPREAD = 0.25  # part of a longer wait that is chance: sidecars that began together do not go on so
 FLEET = 160.0  # sidecars that may ask once in the whole time allowed
 
 
@@ -16,3 +20,11 @@
 def first_spread(sidecars: int, allowed_us: int) -> float:
     """Over how long the first calls of a fleet that starts at once are spread, microseconds; 0 in a small one."""
     return longest_wait(sidecars, allowed_us) - MOST * allowed_us
+
+
+def watch_s(sidecars: int) -> float:
+    """How long a watch may wait, seconds, in a fleet of so many sidecars: all of them share one registry.
+
+    A longer wait harms where the registry falls silent without a word, which is noticed after it.
+    """
+    return max(WATCH_LEAST_S, min(sidecars / WATCHES_A_SECOND, WATCH_MOST_S))
