Answers of unknown length pass on once they come slowly; a begun answer is no silence

An answer in chunks was held until 64 KiB were here, though its first bytes are its time; and a server whose large answers were under way had, by the decision module, answered nothing. An answer that tells no length and is not whole 30 ms after its first bytes is passed on (status 200 alone); the module takes the beginning of an answer as a sign of life and counts its attempt as past its aim.

--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -272,6 +272,29 @@
     play(scene())
 
 
+def test_an_answer_of_unknown_length_that_comes_slowly_is_passed_on_before_64_kib_are_here() -> None:
+    async def scene() -> None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        async with held_answer(head, b"5\r\nfirst\r\n") as (reader, _, server):
+            await asyncio.wait_for(reader.readuntil(b"5\r\nfirst\r\n"), PATIENCE_S)
+            server.writers[-1].write(b"4\r\nlast\r\n0\r\n\r\n")
+            assert (await asyncio.wait_for(reader.read(), PATIENCE_S)).endswith(b"4\r\nlast\r\n0\r\n\r\n")
+
+    play(scene())
+
+
+def test_a_refusal_in_chunks_that_comes_slowly_is_still_a_refusal() -> None:
+    async def scene() -> None:
+        head = b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
+        async with held_answer(head) as (reader, _, server):
+            await asyncio.sleep(0.1)
+            server.writers[-1].write(b"0\r\n\r\n")
+            got = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+            assert got.startswith(b"HTTP/1.1 503 ")
+
+    play(scene())
+
+
 def test_a_client_of_http_1_0_gets_a_large_answer_until_the_connection_ends() -> None:
     async def scene() -> None:
         async with world(lambda *_: None) as w:
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -488,7 +488,10 @@
     def _answer_started(self, event: AnswerStarted) -> None:
         request = self._requests.get(event.request)
         if request is not None and event.attempt < len(request.attempts):
-            request.attempts[event.attempt].started = True
+            attempt = request.attempts[event.attempt]
+            attempt.started = True
+            attempt.server.last_answer_at = self._now  # it is not silent, however long the rest takes
+            self._age(attempt)
 
     # -- Order: where a class asks for it, requests with one key run one at a time --------------------
 
--- a/topazbank/http/connection.py
+++ b/topazbank/http/connection.py
@@ -19,6 +19,7 @@
 
 log = logging.getLogger(__name__)
 
+_SLOW_S = 0.03  # an answer that tells no length, and is not whole so long after its first bytes, is passed on
 _PIECES_AT_ONCE = 16  # of a large body, before others have their turn
 _STREAM_STALL_S = 20.0  # a server that gives nothing more of a large answer for so long has gone
 _HINTS_MOST = 8  # 1xx answers ahead of the one that counts
@@ -83,6 +84,9 @@
         self._body_most = body_most
         self._stall_s = stall_s  # what an answer that has begun may take; None: bounded elsewhere
         self._stall: asyncio.TimerHandle | None = None
+        self._slow: asyncio.TimerHandle | None = (
+            None  # when an answer of unknown length is passed on as it comes
+        )
         self._hints = 0  # 1xx answers to the request that is out
         self._h11: h11.Connection | None = None  # reads an answer that did not come whole and plain
         self._transport: asyncio.Transport | None = None
@@ -277,6 +281,8 @@
             self._body += data_of(event)
             if len(self._body) > self._body_most:
                 return self._is_too_long(None)
+            if self._may_stream and self._slow is None:
+                self._slow = asyncio.get_running_loop().call_later(_SLOW_S, self._is_slow)
         elif isinstance(event, h11.EndOfMessage):
             done = reader.our_state is h11.DONE and reader.their_state is h11.DONE
             if self._stream is not None:
@@ -295,6 +301,15 @@
             self._spoil("too long")
         return self._stream is not None
 
+    def _is_slow(self) -> None:
+        """An answer that tells no length comes slowly: it may be a large one, whose first bytes are its time."""
+        self._slow = None
+        served = self._head is not None and self._head.status_code == 200
+        unknown = served and not any(name == b"content-length" for name, _ in self._headers)
+        if unknown and self._body and self._ended is not None:
+            self._is_too_long(None)
+            self._wait_for_more(_STREAM_STALL_S)
+
     def _is_all_here(self, reader: h11.Connection) -> bool:
         """Finish at once with a body that came with its head, as most do: that spares h11 two events."""
         assert self._head is not None
@@ -344,6 +359,9 @@
         self.on_lost()
 
     def _end_stall(self) -> None:
+        if self._slow is not None and self._ended is None:
+            self._slow.cancel()
+            self._slow = None
         if self._stall is not None:
             self._stall.cancel()
             self._stall = None
