--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -9,6 +9,7 @@
 
 from topazbank.balancer import Server
 from topazbank.interface import (
+    AnswerStarted,
     Cancel,
     CloseIdle,
     Fail,
@@ -113,6 +114,28 @@
     assert len(copies) > 1 and hung not in copies[1:]
 
 
+def test_a_server_whose_large_answers_are_under_way_is_not_taken_for_silent() -> None:
+    # Guards servers against requests that only take long to be passed on: their answers have begun.
+    stage = Stage()
+    stage.servers(names(6))
+    stage.serve(120)
+    burst = [stage.request() for _ in range(24)]
+    giving = stage.target(burst[0])  # the first one there is slow
+    for request in burst[1:]:
+        stage.wait(2 * MS)
+        if stage.target(request) == giving:
+            stage.play(AnswerStarted(request, 0, giving, 30 * MS))  # it has no end yet
+        else:
+            stage.end(request)
+    for _ in range(20):
+        stage.wait(20 * MS)
+        request = stage.request()
+        if stage.target(request) != giving:
+            stage.wait(10 * MS)
+            stage.end(request)
+    assert not any("silent" in each.text for each in stage.said(Log))
+
+
 def test_an_ejected_server_comes_back_by_one_trial_at_a_time() -> None:
     stage = Stage()
     hung, stuck = _with_one_hung(stage, 20)
