Ends of large answers are kept for slow readers, and unframed ones are not passed on

Also: the desk's and the drain's classes no longer share a name, the handover tests use settings that stand elsewhere.

--- a/tests/operation/test_desk.py
+++ b/tests/operation/test_desk.py
@@ -10,7 +10,7 @@
 import pytest
 
 from topazbank.core.net import Address
-from topazbank.operation.desk import CALLERS_MOST, LINE_MOST, Desk, Orders
+from topazbank.operation.desk import CALLERS_MOST, LINE_MOST, Calls, Desk
 from topazbank.operation.drain import Drain, Stage
 
 PATIENCE_S = 10.0
@@ -20,7 +20,7 @@
 def desk(drain: Drain | None = None) -> Iterator[Address]:
     drain = drain or Drain(1.0)
     drain.serve()
-    made = Desk(("127.0.0.1", 0), Orders(drain, lambda: None).answer)
+    made = Desk(("127.0.0.1", 0), Calls(drain, lambda: None).answer)
     made.start()
     try:
         yield made.address
@@ -55,9 +55,9 @@
 
 def test_status_says_no_before_this_process_can_serve() -> None:
     drain = Drain(1.0)
-    assert Orders(drain, lambda: None).answer(b"status").startswith("400")
+    assert Calls(drain, lambda: None).answer(b"status").startswith("400")
     drain.serve()
-    assert Orders(drain, lambda: None).answer(b"status").startswith("200")
+    assert Calls(drain, lambda: None).answer(b"status").startswith("200")
 
 
 @pytest.mark.parametrize(
@@ -105,8 +105,8 @@
 def test_an_order_wakes_the_loop_and_changes_the_machine_before_it_is_answered() -> None:
     drain, woken = Drain(1.0), []
     drain.serve()
-    orders = Orders(drain, lambda: woken.append(drain.stage))
-    orders.answer(b"standby")
-    orders.answer(b"status")
-    orders.answer(b"active")
+    calls = Calls(drain, lambda: woken.append(drain.stage))
+    calls.answer(b"standby")
+    calls.answer(b"status")
+    calls.answer(b"active")
     assert woken == [Stage.EMPTYING, Stage.SERVING]
--- a/tests/operation/test_handover.py
+++ b/tests/operation/test_handover.py
@@ -16,21 +16,11 @@
 
 import pytest
 from loopback import PATIENCE_S, FakeDiscovery, FakeServer, answer, ask, play, read_answer, request, until
+from test_life import ROOT, SETTINGS
 
 from topazbank.core.net import Address
 from topazbank.operation.handover import inherit
 
-ROOT = Path(__file__).parent.parent.parent
-SETTINGS: dict[str, Any] = {
-    "lanes": [
-        {"name": "look", "giveUpUs": 600_000_000, "repeat": "read_like"},
-        {"name": "pay", "giveUpUs": 600_000_000, "repeat": "non_idempotent"},
-    ],
-    "bounds": {"sendCap": 3, "mayCancel": True},
-    "discovery": "on_request",
-    "zone": "east",
-}
-
 
 def kept_port() -> socket.socket:
     """Bound and not listening: a program may listen there, and no connection is given the port meanwhile."""
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -6,12 +6,15 @@
 import contextlib
 import hashlib
 import re
+import socket
 from collections.abc import AsyncIterator
 
 import pytest
 from loopback import PATIENCE_S, FakeServer, answer, play, read_answer, request, until, world
 
 from topazbank.core.body import CHUNK, Intake, Large, NoRoom, Spool
+from topazbank.core.listener import LIMITS_S, Phase
+from topazbank.http import connection, front
 
 BIG = hashlib.shake_256(b"body").digest(3 * CHUNK + 77)
 
@@ -258,6 +261,40 @@
     play(scene())
 
 
+@pytest.mark.parametrize("ends", [False, True])
+def test_the_last_piece_of_a_large_answer_waits_for_a_client_that_reads_slowly(
+    ends: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against cutting off what the node gave: its end is here long before a slow client has taken it.
+    monkeypatch.setitem(LIMITS_S, Phase.LEAVING, 0.1)
+
+    async def scene() -> None:
+        async with world(lambda *_: None) as w:
+            size = 1024 * 1024
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(w.sidecar.frontend.address)
+            reader, writer = await asyncio.open_connection(sock=sock, limit=1024)
+            writer.write(request("pay", body=b"x", **({"Connection": "close"} if ends else {})))
+            await until(w.sent)
+            # A small buffer, so that the last piece is sure to wait here.
+            taking = w.sidecar.frontend.connections[0]
+            taking._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            giving = w.servers[0].writers[-1]
+            giving.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + bytes(size))
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+            assert b"%d" % size in head
+            took = 0
+            while taking._stream is not None:  # type: ignore[attr-defined]
+                took += len(await asyncio.wait_for(reader.read(4096), PATIENCE_S))
+            await asyncio.sleep(0.5)  # the node's end is here, and the rest waits
+            took += len(await asyncio.wait_for(reader.readexactly(size - took), PATIENCE_S))
+            assert took == size
+            writer.close()
+
+    play(scene())
+
+
 def test_a_client_that_leaves_in_the_middle_ends_what_its_node_still_gives() -> None:
     async def scene() -> None:
         async with held_answer(b"HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n") as (
@@ -283,6 +320,65 @@
     play(scene())
 
 
+@pytest.mark.parametrize("body", [b"perhaps all", BIG], ids=["small", "large"])
+def test_a_slow_answer_whose_end_cannot_be_told_is_not_passed_on(body: bytes) -> None:
+    # Guards rule 1: it ends with its connection, says nothing of that, and may have been cut short.
+    async def scene() -> None:
+        async with held_answer(b"HTTP/1.1 200 OK\r\n\r\n", body) as (reader, _, server):
+            await asyncio.sleep(0.1)
+            server.writers[-1].close()
+            got = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+            assert got.startswith(b"HTTP/1.1 500 ")
+
+    play(scene())
+
+
+def test_an_answer_without_end_is_ended_in_time_however_it_drips(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(connection, "_STREAM_S", 0.3)
+
+    async def scene() -> None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        async with held_answer(head, b"1\r\nx\r\n") as (reader, _, server):
+
+            async def drip() -> None:
+                while not server.writers[-1].is_closing():
+                    server.writers[-1].write(b"1\r\nx\r\n")
+                    await asyncio.sleep(0.02)
+
+            dripping = asyncio.create_task(drip())
+            _, rest = await head_and_rest(reader)
+            assert rest and not unchunked(rest)[1]
+            dripping.cancel()
+
+    play(scene())
+
+
+@pytest.mark.parametrize(
+    ("limit", "begun"),
+    [("_HEAD_S", b"GET /api/1 HTTP/1.1\r\nX-Long: "), ("_BODY_S", request("pay", Content_Length="99999"))],
+)
+def test_a_request_that_drips_is_turned_away_in_time(
+    limit: str, begun: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards connections against clients that send a byte before each limit.
+    monkeypatch.setattr(front, limit, 0.2)
+
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(begun)
+            answered = asyncio.create_task(reader.readuntil(b"\r\n\r\n"))
+            for _ in range(200):
+                if answered.done():
+                    break
+                writer.write(b"x")
+                await asyncio.sleep(0.02)
+            assert (await asyncio.wait_for(answered, PATIENCE_S)).startswith(b"HTTP/1.1 408 ")
+            writer.close()
+
+    play(scene())
+
+
 def test_a_refusal_in_chunks_that_comes_slowly_is_still_a_refusal() -> None:
     async def scene() -> None:
         head = b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -51,7 +51,7 @@
 
 LIMITS_S = {
     Phase.NEW: 5.0,  # a client may take 2 s for a head
-    Phase.WAITING: 5.0,  # since the last byte; HEAD_S in all
+    Phase.WAITING: 5.0,  # since the last byte
     Phase.COMING: 10.0,  # since the last byte
     Phase.BEHIND: 2.0,
     Phase.TAKING: 60.0,  # at 64 kB a second the kernel asks for more only every so often
@@ -250,9 +250,9 @@
     def _make_room(self) -> bool:
         """End a connection that holds no request, by what it has done, and only then by age.
 
-        First those that were told their last.  Then those at rest: their clients open another when they need one.
-        Then those that have said nothing for long, and those whose head goes no further.  What moved a moment ago is
-        spared while there are others: its request may be on the way.
+        First those that were told their last, then those that have long said nothing or whose head has long gone no
+        further, then those at rest: their clients open another when they need one.  What moved a moment ago is spared
+        while there are others: its request may be on the way.
         """
         now = asyncio.get_running_loop().time()
         chosen = next(iter(self._phases[Phase.LEAVING]), None)
--- a/topazbank/http/connection.py
+++ b/topazbank/http/connection.py
@@ -22,6 +22,7 @@
 _SLOW_S = 0.03  # an answer that tells no length, and is not whole so long after its first bytes, is passed on
 _PIECES_AT_ONCE = 16  # of a large body, before others have their turn
 _STREAM_STALL_S = 20.0  # a server that gives nothing more of a large answer for so long has gone
+_STREAM_S = 600.0  # and what a large answer may take in all: 32 MB at 64 kB a second, and some more
 _HINTS_MOST = 8  # 1xx answers ahead of the one that counts
 _FRAMING = (b"content-length", b"transfer-encoding")
 _BODILESS = (204, 304)  # statuses whose answers hold no body, whatever their head says
@@ -98,6 +99,7 @@
         self._rest: Iterator[bytes] | None = None  # of the request: pieces that are not written yet
         self._may_stream = False  # whether a large answer is passed on as it comes
         self._stream: Stream | None = None  # the one that is
+        self._most: asyncio.TimerHandle | None = None  # when it is given up
         self._paused = False  # whether it waits for its client
         self.on_lost: Callable[[], None] = lambda: None
         self.on_stream_end: Callable[[bool], None] = lambda whole: None
@@ -203,6 +205,7 @@
         self._end_stall()
         stream = Stream(length, bytes(self._body), self._pause, self.abort)
         self._stream, self._body = stream, bytearray()
+        self._most = asyncio.get_running_loop().call_later(_STREAM_S, self._spoil, "no end of it")
         ended, self._ended = self._ended, None
         if ended is not None:
             ended(HttpResponse(self._head.status_code, self._headers, b"", stream))
@@ -225,6 +228,8 @@
             return
         self._head = None
         self._end_stall()
+        if self._most is not None:
+            self._most.cancel()
         if self._paused:
             self._pause(False)
         if not reusable or not self._written:
@@ -295,7 +300,7 @@
     def _is_too_long(self, length: int | None) -> bool:
         """An answer is over the bound: pass it on as it comes, or give up on it; say whether more is to be read."""
         served = self._head is not None and self._head.status_code == 200
-        if self._may_stream and served and (length or 0) <= LARGE_MOST:
+        if self._may_stream and served and self._is_framed() and (length or 0) <= LARGE_MOST:
             self._begin_stream(length)
         else:
             self._spoil("too long")
@@ -306,7 +311,7 @@
         self._slow = None
         served = self._head is not None and self._head.status_code == 200
         unknown = served and not any(name == b"content-length" for name, _ in self._headers)
-        if unknown and self._body and self._ended is not None:
+        if unknown and self._is_framed() and self._body and self._ended is not None:
             self._is_too_long(None)
             self._wait_for_more(_STREAM_STALL_S)
 
--- a/topazbank/http/front.py
+++ b/topazbank/http/front.py
@@ -37,6 +37,8 @@
 _ROSTER_PATH = b"/admin/roster"
 # Bytes read and dropped of what comes after a rejection, so that its answer arrives.
 _DROPPED_MOST = 128 * BODY_MOST
+_HEAD_S = 10.0  # what a head may take in all: a client may take 2 s
+_BODY_S = 600.0  # and a whole request: 32 MB at 64 kB a second, and some more
 _REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed"}
 _SINGLE = frozenset(  # headers that mean one thing: given twice, they may mean another to a server
     (
@@ -128,6 +130,7 @@
         self._h11 = h11.Connection(h11.SERVER)
         self._head: h11.Request | RequestHead | None = None
         self._body = Intake(frontend.hooks.spool)
+        self._begun_at: float | None = None  # when the first byte of a request came that is not whole yet
         self._call: Call | None = None
         self._stream: Stream | None = None  # the large answer that is passed on
         self._chunked = False  # and whether in chunks
@@ -187,7 +190,9 @@
             self._frontend.move(self, Phase.OPEN)
             self._stream.pause(False)
             return
-        if self._call is None and self._dropped is None:
+        if self._dropped is not None:
+            self._frontend.move(self, Phase.LEAVING)  # all is taken: its client has to end its side
+        elif self._call is None:
             self._next_request()
 
     def is_idle(self) -> bool:
@@ -229,11 +234,19 @@
     def _read(self) -> None:
         """Take what has come, up to the end of one request."""
         self._take(self._events)
-        if self._head is not None:
-            if self._call is None and self._stream is None:
-                self._frontend.move(self, Phase.COMING, again=True)
-        elif self._h11.trailing_data[0]:
-            self._frontend.move(self, Phase.WAITING, again=True)
+        if self._head is None and not self._h11.trailing_data[0]:
+            self._begun_at = None
+        elif self._call is None and self._stream is None and self._dropped is None:
+            self._goes_on()
+
+    def _goes_on(self) -> None:
+        """A part of a request has come: its phase begins anew, within what the whole may take."""
+        now = asyncio.get_running_loop().time()
+        self._begun_at = now if self._begun_at is None else self._begun_at
+        if now - self._begun_at > (_HEAD_S if self._head is None else _BODY_S):
+            self._reject(BadCall(408, "the request took too long to come"))
+        else:
+            self._frontend.move(self, Phase.WAITING if self._head is None else Phase.COMING, again=True)
 
     def _events(self) -> None:
         while self._next_event():
@@ -285,6 +298,7 @@
         """A request has come whole."""
         head = self._head
         assert head is not None
+        self._begun_at = None
         path = own_form(head.target).partition(b"?")[0]
         try:
             self._serve(head, path, body)
@@ -347,12 +361,15 @@
         read = isinstance(self._head, RequestHead) or self._h11.their_state is h11.DONE
         return self._frontend.draining or not read
 
-    def _over(self, ends: bool) -> None:
-        """An answer is written: turn to what came behind its request, or end."""
+    def _over(self, ends: bool, rest: Phase = Phase.LEAVING) -> None:
+        """An answer is written: turn to what came behind its request, or end.
+
+        `rest`: the phase, and so the limit, of what its client has not taken yet.
+        """
         if self._transport is None or self._transport.is_closing():
             return
         if ends:
-            self._linger()
+            self._linger(rest if self._stuck else Phase.LEAVING)
             return
         behind = self._h11.trailing_data[0]
         if behind or self._h11.their_state is not h11.IDLE:
@@ -360,7 +377,7 @@
             behind = behind.lstrip(b"\r\n")
             if behind:
                 self._h11.receive_data(behind)
-        self._frontend.move(self, Phase.LEAVING if self._stuck else Phase.RESTING)
+        self._frontend.move(self, rest if self._stuck else Phase.RESTING)
         if not self._stuck and (behind or not self._transport.is_reading()):
             asyncio.get_running_loop().call_soon(self._next_request)
 
@@ -406,7 +423,7 @@
             return
         if self._chunked:
             self._transport.write(b"0\r\n\r\n")
-        self._over(self._ends)
+        self._over(self._ends, Phase.TAKING)
 
     def _reset(self) -> None:
         """End with a reset: to a client of HTTP/1.0 an end would say that the answer is whole."""
@@ -414,11 +431,11 @@
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.abort()
 
-    def _linger(self) -> None:
+    def _linger(self, phase: Phase = Phase.LEAVING) -> None:
         """End our side and drop what still comes: closing on unread bytes would reset the answer away."""
         if self._transport is not None and not self._transport.is_closing():
             self._dropped = 0
-            self._frontend.move(self, Phase.LEAVING)
+            self._frontend.move(self, phase)
             self._transport.write_eof()
 
     def _drop(self, count: int) -> None:
--- a/topazbank/operation/desk.py
+++ b/topazbank/operation/desk.py
@@ -38,7 +38,7 @@
     return word.decode() if word in (b"status", b"standby", b"active") else None
 
 
-class Orders:
+class Calls:
     """What the operators' words do to the drain's machine."""
 
     def __init__(self, drain: Drain, changed: Callable[[], None]) -> None:
--- a/topazbank/operation/service.py
+++ b/topazbank/operation/service.py
@@ -11,7 +11,7 @@
 
 from topazbank.core.driver import Config, Sidecar, Wiring
 from topazbank.membership.registry import list_to_json, parse_list
-from topazbank.operation.desk import Desk, Orders
+from topazbank.operation.desk import Calls, Desk
 from topazbank.operation.handover import Handover, inherit
 from topazbank.operation.upgrade import parts
 
@@ -45,8 +45,7 @@
         self._desk: Desk | None = None
         if config.operator is not None:
             # Both clocks are the monotonic one; the desk's thread has no loop.
-            orders = Orders(self.sidecar.drain, self._changed)
-            self._desk = Desk(config.operator, orders.answer)
+            self._desk = Desk(config.operator, Calls(self.sidecar.drain, self._changed).answer)
         self._loop: asyncio.AbstractEventLoop | None = None
 
     async def run(self, stop: asyncio.Event) -> None:
