--- /dev/null
+++ b/standins/tier/judge.py
@@ -0,0 +1,121 @@
+"""Whether a tier kept its promise: each process's account of its view, held against what the rig knows to be true."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from standins.tier.scenes import Script
+
+REFOUND_S = 2.0  # a process that wakes or is reached again is back by then
+KNOWN_S = 4.0  # a killed one is known to all by then
+
+
+@dataclass(frozen=True, slots=True)
+class Noted:
+    """One process's account: at this time it found another in another state."""
+
+    at: float
+    by: int
+    whom: int
+    old: str | None
+    new: str | None
+    life: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """What the rig did to whom, and when."""
+
+    at: float
+    do: str
+    who: tuple[int, ...]
+    to: tuple[int, ...] = ()
+    value: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Looked:
+    """One process's view at a moment: who is here to it, by life; whether it says that it is cut off."""
+
+    at: float
+    by: int
+    here: Mapping[int, int]
+    cut_off: bool
+
+
+@dataclass(slots=True)
+class Found:
+    """What came of one play."""
+
+    faults: list[str] = field(default_factory=list)
+    false_gone: int = 0
+    known_s: list[float] = field(default_factory=list)  # from a kill to each other's knowing
+    first_s: list[float] = field(default_factory=list)  # and to the first's
+    flaps: int = 0  # returns from the gone
+    suspected: int = 0
+    equal_s: float | None = None  # from the end of all faults until all views were equal to the truth
+
+
+def judge(
+    script: Script,
+    done: Sequence[Done],
+    noted: Sequence[Noted],
+    looks: Sequence[Looked],
+    lives: Mapping[int, int],
+    known_s: float = KNOWN_S,
+) -> Found:
+    """`lives`: who runs at the end, and its life; `looks`: views after the faults' end, in the order of time."""
+    found = Found()
+    killed = {who: each.at for each in done if each.do == "kill" for who in each.who}
+    for each in noted:
+        gone = each.new == "GONE"
+        found.suspected += each.new == "SUSPECTED"
+        found.flaps += each.old == "GONE" and each.new == "HERE"
+        if gone and script.nobody_gone and each.whom not in script.excused:
+            found.false_gone += 1
+            found.faults.append(f"{each.by} called {each.whom} gone at {each.at:.2f} s, and it lived")
+    _kills(found, done, noted, killed, known_s)
+    _equal(found, script, looks, lives)
+    return found
+
+
+def _kills(
+    found: Found, done: Sequence[Done], noted: Sequence[Noted], killed: Mapping[int, float], known_s: float
+) -> None:
+    """Of each that was killed and stayed away: by when each other that lived on knew."""
+    started = {who for each in done if each.do == "start" for who in each.who}
+    disturbed = any(each.do in ("cut", "stop", "busy") for each in done)
+    for whom, at in killed.items():
+        if whom in started or disturbed or len(killed) > 1:
+            continue
+        knew: dict[int, float] = {}
+        for each in noted:
+            if each.whom == whom and each.new == "GONE" and each.at >= at:
+                knew.setdefault(each.by, each.at - at)
+        found.known_s += knew.values()
+        found.first_s += [min(knew.values())] if knew else []
+        found.faults += [
+            f"{by} knew of {whom}'s death after {took:.2f} s" for by, took in knew.items() if took > known_s
+        ]
+
+
+def _equal(found: Found, script: Script, looks: Sequence[Looked], lives: Mapping[int, int]) -> None:
+    """Views count as equal from when on all are, to the end."""
+    last: dict[int, Looked] = {}
+    wrong_at: float | None = None
+    for each in looks:
+        last[each.by] = each
+        if each.cut_off or dict(each.here) != dict(lives):
+            wrong_at = each.at
+    for by in lives:
+        look = last.get(by)
+        if look is None:
+            found.faults.append(f"{by} gave no account of its view")
+        elif look.cut_off:
+            found.faults.append(f"{by} says that it is cut off, and is not")
+        elif dict(look.here) != dict(lives):
+            missed, more = set(lives) - set(look.here), set(look.here) - set(lives)
+            found.faults.append(f"{by} misses {sorted(missed)[:5]} and sees {sorted(more)[:5]} too many")
+    if not found.faults or wrong_at is not None:
+        found.equal_s = max((wrong_at or 0.0) - script.faults_end_s, 0.0)
--- /dev/null
+++ b/standins/tier/played.py
@@ -0,0 +1,287 @@
+"""A tier in played time: the deciding modules alone, on a network of a seed, up to thousands of members."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from standins.tier.judge import Done, Found, Looked, Noted, judge
+from standins.tier.scenes import Script, Step
+from topazbank.core.net import Address
+from topazbank.tier.detector import Detector, Out
+from topazbank.tier.member import Record, State, ident_of
+from topazbank.tier.rules import Rules
+from topazbank.tier.view import View
+from topazbank.tier.wire import Message, encode
+
+LOOK_EVERY_S = 0.25
+LAG_S = (0.0002, 0.002)  # of a datagram on a quiet network
+STOPPED_KEPT = 300  # datagrams that wait for a process that stands still, as its socket's buffer would hold
+EPOCH = 1_800_000_000_000  # milliseconds: when played time begins
+
+
+def address_of(number: int) -> Address:
+    return (f"m{number}", 7000)
+
+
+@dataclass(slots=True)
+class Faults:
+    """What the network does to a datagram."""
+
+    loss: float = 0.0
+    delay_s: float = 0.0
+    doubled: float = 0.0
+    cuts: set[tuple[int, int]] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Life:
+    """One process."""
+
+    number: int
+    detector: Detector
+    view: View
+    began: float
+    stopped_until: float = 0.0
+    waiting: list[tuple[Message, Address]] = field(default_factory=list)
+    alarm: float = -1.0  # the time of its next tick that is in the heap
+    late_s: float = 0.0  # how late each of its steps is, while the machine is busy
+
+
+Maker = Callable[..., Detector]
+
+
+class Played:
+    """The rig of played time."""
+
+    def __init__(
+        self,
+        members: int,
+        seed: int,
+        rules: Rules | None = None,
+        make: Maker = Detector,
+        measured: bool = False,
+        settled: bool = False,
+    ) -> None:
+        """`measured`: count bytes too; `settled`: all know one another from the start."""
+        self.rules = rules or Rules()
+        self.random = random.Random(seed)
+        self.seed, self.members = seed, members
+        self.make = make
+        self.measured = measured
+        self.now = 0.0
+        self.idents = {ident_of(str(number)): number for number in range(members)}
+        self.lives: dict[int, Life] = {}
+        self.faults = Faults()
+        self.noted: list[Noted] = []
+        self.done: list[Done] = []
+        self.looks: list[Looked] = []
+        self.sent: Counter[str] = Counter()
+        self.sent_by: Counter[int] = Counter()
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._lives = 0
+        base = self._settled() if settled else None
+        for number in range(members):
+            self.start(number, base)
+
+    def _settled(self) -> dict[int, Record]:
+        return {
+            ident: Record(ident, EPOCH, 0, State.HERE, address_of(number))
+            for ident, number in self.idents.items()
+        }
+
+    # -- Time ------------------------------------------------------------------------------------------
+
+    def at(self, when: float, do: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (when, next(self._order), do))
+
+    def run(self, until: float) -> None:
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, do = heapq.heappop(self._heap)
+            do()
+        self.now = until
+
+    def us(self) -> int:
+        return round(self.now * 1e6)
+
+    # -- Processes -------------------------------------------------------------------------------------
+
+    def start(self, number: int, known: Mapping[int, Record] | None = None) -> None:
+        self._lives += 1
+        life = EPOCH if known is not None else EPOCH + int(self.now * 1000) + self._lives
+        seeds = [address_of(each) for each in range(min(self.members, 64)) if each != number]
+        me = ident_of(str(number))
+        detector = self.make(
+            me,
+            life,
+            self.us(),
+            self.rules,
+            () if known is not None else seeds,
+            {},
+            self.random.getrandbits(32),
+        )
+        if known is not None:
+            self._know(detector, known)
+        process = Life(number, detector, View(detector), self.now)
+        self.lives[number] = process
+        self._arm(process, self.now + self.random.random() * self.rules.period_us / 1e6)
+
+    @staticmethod
+    def _know(detector: Detector, known: Mapping[int, Record]) -> None:
+        """Let it know all others, as after a long time together."""
+        for ident, record in known.items():
+            if ident != detector.me:
+                detector.table.put(0, record)
+        detector.table.shuffle()
+
+    def kill(self, number: int) -> None:
+        self.lives.pop(number, None)
+
+    def _arm(self, process: Life, when: float | None = None) -> None:
+        due = process.detector.due / 1e6 if when is None else when
+        due = max(due, self.now + 1e-4) + process.late_s * self.random.random()
+        if process.alarm >= 0.0 and process.alarm <= due and process.alarm > self.now:
+            return
+        process.alarm = due
+        self.at(due, lambda: self._alarm(process, due))
+
+    def _alarm(self, process: Life, due: float) -> None:
+        if self.lives.get(process.number) is not process or process.alarm != due:
+            return
+        if process.stopped_until > self.now:
+            process.alarm = process.stopped_until
+            self.at(process.stopped_until, lambda: self._alarm(process, process.alarm))
+            return
+        process.alarm = -1.0
+        for message, source in process.waiting:
+            self._send(process, process.detector.handle(self.us(), message, source))
+        process.waiting.clear()
+        self._send(process, process.detector.tick(self.us()))
+        self._after(process)
+
+    def _after(self, process: Life) -> None:
+        if process.detector.changes:
+            for each in process.detector.changes:
+                whom = self.idents.get(each.ident)
+                if whom is not None:
+                    old = each.old.name if each.old is not None else None
+                    new = each.new.name if each.new is not None else None
+                    self.noted.append(Noted(self.now, process.number, whom, old, new, each.record.life))
+            process.detector.changes.clear()
+        self._arm(process)
+
+    # -- The network -----------------------------------------------------------------------------------
+
+    def _send(self, process: Life, out: list[Out]) -> None:
+        for each in out:
+            to = int(each.to[0][1:])
+            self.sent["messages"] += 1
+            self.sent_by[process.number] += 1
+            if self.measured:
+                size = len(encode(each.message))
+                self.sent["bytes"] += size
+                self.sent["longest"] = max(self.sent["longest"], size)
+            self._carry(process.number, to, each.message)
+
+    def _carry(self, sender: int, to: int, message: Message) -> None:
+        faults = self.faults
+        if (sender, to) in faults.cuts or (faults.loss and self.random.random() < faults.loss):
+            return
+        for _ in range(2 if faults.doubled and self.random.random() < faults.doubled else 1):
+            lag = self.random.uniform(*LAG_S) + faults.delay_s * self.random.random()
+            self.at(self.now + lag, lambda: self._arrive(sender, to, message))
+
+    def _arrive(self, sender: int, to: int, message: Message) -> None:
+        process = self.lives.get(to)
+        if process is None:
+            return
+        if process.stopped_until > self.now:
+            if len(process.waiting) < STOPPED_KEPT:
+                process.waiting.append((message, address_of(sender)))
+            return
+        self._send(process, process.detector.handle(self.us(), message, address_of(sender)))
+        self._after(process)
+
+    # -- Scenes ----------------------------------------------------------------------------------------
+
+    def do(self, step: Step) -> None:
+        self.done.append(Done(self.now, step.do, step.who, step.to, step.value))
+        if step.do in ("loss", "delay", "doubled"):
+            setattr(self.faults, {"delay": "delay_s"}.get(step.do, step.do), step.value)
+        elif step.do == "cut":
+            self.faults.cuts |= {(a, b) for a in step.who for b in step.to}
+        elif step.do == "heal":
+            self.faults.cuts.clear()
+        else:
+            for number in step.who:
+                self._do_to(number, step)
+
+    def _do_to(self, number: int, step: Step) -> None:
+        process = self.lives.get(number)
+        if step.do == "kill":
+            self.kill(number)
+        elif step.do == "start" and process is None:
+            self.start(number)
+        elif process is None:
+            return
+        elif step.do == "stop":
+            process.stopped_until = self.now + step.value
+            process.alarm = process.stopped_until
+            self.at(process.stopped_until, lambda: self._alarm(process, process.alarm))
+        elif step.do == "leave":
+            self._send(process, process.detector.leave(self.us()))
+            self.kill(number)
+        elif step.do == "upgrade":
+            self._upgrade(process)
+        elif step.do == "busy":
+            process.late_s = 0.3
+            self.at(self.now + step.value, lambda: setattr(process, "late_s", 0.0))
+
+    def _upgrade(self, process: Life) -> None:
+        before = process.detector.before()
+        detector = self.make(
+            process.detector.me, 0, self.us(), self.rules, (), {}, self.random.getrandbits(32), before
+        )
+        follower = Life(process.number, detector, View(detector), process.began)
+        self.lives[process.number] = follower
+        self._arm(follower, self.now)
+
+    def look(self) -> None:
+        for number, process in self.lives.items():
+            if process.stopped_until > self.now:
+                continue
+            process.view.look(self.us())
+            here = {
+                self.idents[ident]: each.life
+                for ident, each in process.detector.table.records.items()
+                if each.counts and ident in self.idents
+            }
+            here[number] = process.detector.life
+            self.looks.append(Looked(self.now, number, here, process.view.cut_off))
+
+    def play(self, script: Script, settle_s: float = 3.0) -> Found:
+        """Play a scene to its end, after a while for all to find one another."""
+        for step in script.steps:
+            self.at(settle_s + step.at, lambda step=step: self.do(step))  # type: ignore[misc]
+        self.run(settle_s)
+        self.noted.clear()
+        self.run(settle_s + script.faults_end_s)
+        while self.now < settle_s + script.ends_s:
+            self.run(min(self.now + LOOK_EVERY_S, settle_s + script.ends_s))
+            self.look()
+        shifted = [_earlier(each, settle_s) for each in self.looks]
+        lives = {number: each.detector.life for number, each in self.lives.items()}
+        noted = [_earlier(each, settle_s) for each in self.noted]
+        return judge(script, [_earlier(each, settle_s) for each in self.done], noted, shifted, lives)
+
+
+def _earlier(each: Any, by: float) -> Any:
+    from dataclasses import replace
+
+    return replace(each, at=each.at - by)
