Membership among the sidecars in service, with a rig of real processes between faults

The program could not say which other sidecars live. With [tier] in the operator file (off by default, checked whole at the start) a sidecar takes part in its tier by the address where it hears others; hearsay forgets who is gone at once, and list calls, fair shares at a start and the fleet's rate go by the members seen instead of groupSize, by the larger number where the view is unsure. The old process of an upgrade hands over its life and rests; it takes part again if the new one ends. python -m topazbank.tier show prints the view.

standins.tier starts the program N times, passes every datagram between two through a relay with faults by ordered pair, stops, kills, restarts and upgrades processes, and judges accounts of views beside the nodes' logs. Ruled out: a socket for each ordered pair; one door a member tells the sender by its address.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -42,6 +42,7 @@
     "sight/asking.py",
     "sight/fading.py",
     "sight/hearsay.py",
+    "sight/others.py",
     "sight/soundings.py",
     "sight/stall.py",
     "sight/strain.py",
--- /dev/null
+++ b/standins/tier/rig.py
@@ -0,0 +1,402 @@
+"""A tier of real processes: the program as `run` starts it, N times, with nodes, the registry and honest clients."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from standins.fleet.calling import Clients
+from standins.fleet.judge import Reached, Verdicts
+from standins.fleet.judge import judge as judge_rules
+from standins.lodge import Lodge, LodgeServer, Memory, RunLog
+from standins.registry import Registry
+from standins.tier.judge import Done, Found, Looked, Noted, judge
+from standins.tier.relay import Relay, free_tcp, free_udp
+from standins.tier.scenes import PAUSE_BORNE_S, Script, Step
+from standins.wire import HTTP, MSGPACK_RPC, Address, Asked, place
+from topazbank.tier.__main__ import ask
+
+ROOT = Path(__file__).parent.parent.parent
+EXAMPLE = ROOT / "deploy" / "example.json"
+COMPILED = ROOT / ".venv" / "compiled"
+START_S = 60.0  # for a process to come up, on a machine that is busy
+LOOK_S = 0.25  # between two accounts of each process's view
+WORK_S = {"check": 0.004, "amend": 0.006, "lodge": 0.010}
+NODES = 4
+OPERATOR = """
+[msgpack_rpc]
+clients = true
+nodes = true
+[admin]
+roster = true
+[tier]
+on = {on}
+"""
+
+
+def now() -> float:
+    return time.monotonic()
+
+
+def _interrupts(step: Step) -> bool:
+    """Whether calls under way may rightly be lost by it: a pause shorter than their time loses none."""
+    return step.do in ("kill", "leave") or (step.do == "stop" and step.value > PAUSE_BORNE_S)
+
+
+class Noting(Lodge):
+    """A node that notes what reaches it, run or not."""
+
+    note: Callable[[str, str], None]
+
+    async def serve(self, asked: Asked) -> Any:
+        self.note(self.name, asked.ident)
+        return await super().serve(asked)
+
+
+@dataclass(slots=True, eq=False)
+class Member:
+    """One sidecar: where it is, and its process of now."""
+
+    number: int
+    listen: Address
+    hears: Address
+    folder: Path
+    process: asyncio.subprocess.Process | None = None
+    stopped: bool = False
+    busy: bool = False  # a change of process is under way: it is not asked
+
+
+class Rig:
+    """The processes, what surrounds them, and what was done and seen."""
+
+    def __init__(self, members: int, seed: int, on: bool = True, rate: float = 60.0) -> None:
+        """`on`: whether membership is; `rate`: calls a second, over all sidecars that no fault touches."""
+        self.count, self.seed, self.on, self._rate = members, seed, on, rate
+        self._folder = tempfile.TemporaryDirectory(prefix="tier-")
+        root = Path(self._folder.name)
+        self.members = []
+        for number in range(members):
+            folder = root / str(number)
+            folder.mkdir()
+            self.members.append(Member(number, free_tcp(), free_udp(), folder))
+        self.relay = Relay([each.hears for each in self.members], seed)
+        self.registry = Registry()
+        self.nodes: list[LodgeServer] = []
+        self.log = RunLog()
+        self._reached: list[Reached] = []
+        self.done: list[Done] = []
+        self._noted: set[Noted] = set()
+        self.looks: list[Looked] = []
+        self.lives: dict[int, int] = {}
+        self._began = now()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.clients = Clients(random.Random(seed))
+        self._burners: list[asyncio.subprocess.Process] = []
+
+    # -- Life ------------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Start all, and wait until each serves and sees all others."""
+        await self.relay.start()
+        await self.registry.start()
+        memories = [Memory(), Memory()]
+        for number in range(NODES):
+            pod = number % 2
+            lodge = Noting(
+                f"n-{number}", self.log, now, 1.0, work=lambda a: WORK_S[a.kind], memory=memories[pod]
+            )
+            lodge.note = lambda node, ident: self._reached.append(Reached(now(), node, ident))
+            server = LodgeServer(lodge, (HTTP, MSGPACK_RPC)[pod], pod + 1)
+            await server.start()
+            self.nodes.append(server)
+            self.registry.put(server.entry())
+        (Path(self._folder.name) / "operator.toml").write_text(
+            OPERATOR.format(on="true" if self.on else "false")
+        )
+        await asyncio.gather(*(self._launch(each) for each in self.members))
+        if self.on:
+            await self.until_equal(START_S)
+
+    async def stop(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        self.clients.stop()
+        for each in self._burners:
+            with contextlib.suppress(ProcessLookupError):
+                each.kill()
+        for member in self.members:
+            if member.process is not None:
+                with contextlib.suppress(ProcessLookupError):
+                    member.process.kill()
+                await member.process.wait()
+        self.relay.stop()
+        self.registry.stop()
+        for node in self.nodes:
+            node.die()
+        self._folder.cleanup()
+
+    def _configuration(self, member: Member) -> Path:
+        peers = [place(each) for each in self.relay.doors]
+        peers[member.number] = place(member.hears)
+        given = json.loads(EXAMPLE.read_text(encoding="utf-8"))
+        given["settings"] |= {"groupSize": self.count, "me": member.number}
+        given["settings"]["bounds"] |= {"mayTell": True}
+        given |= {"listen": place(member.listen), "discovery": place(self.registry.address)}
+        given |= {"peer_listen": place(member.hears), "peers": peers, "seed": f"{member.number + 1:016x}"}
+        path = member.folder / "relay.json"
+        path.write_text(json.dumps(given), encoding="utf-8")
+        return path
+
+    async def _launch(self, member: Member) -> None:
+        """Start a process of this member and wait until it says that it serves."""
+        process = await self._spawn(member)
+        member.process, member.stopped = process, False
+        if self.on:
+            await self._until_up(member, process.pid)
+        else:
+            await self._until_ready(member)
+
+    async def _spawn(self, member: Member) -> asyncio.subprocess.Process:
+        env = os.environ | {
+            "RELAY_CONFIG": str(self._configuration(member)),
+            "RELAY_LISTEN": place(member.listen),
+            "RELAY_OPERATOR": place(free_tcp()),
+            "TMPDIR": str(member.folder),
+        }
+        command = [sys.executable]
+        if (COMPILED / "stamp").exists():
+            env["PYTHONPATH"] = str(COMPILED)
+            command.append("-P")
+        operator = Path(self._folder.name) / "operator.toml"
+        with open(member.folder / "log.txt", "ab") as log:
+            return await asyncio.create_subprocess_exec(
+                *command, "-m", "topazbank", "--operator", str(operator), cwd=ROOT, env=env, stderr=log
+            )
+
+    async def _until_ready(self, member: Member) -> None:
+        async with asyncio.timeout(START_S):
+            while True:
+                with contextlib.suppress(OSError):
+                    reader, writer = await asyncio.open_connection(*member.listen)
+                    writer.write(b"GET /health/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                    line = await reader.readline()
+                    writer.close()
+                    if b" 200 " in line:
+                        return
+                await asyncio.sleep(0.05)
+
+    async def _until_up(self, member: Member, pid: int) -> None:
+        async with asyncio.timeout(START_S):
+            while (told := await self._ask(member)) is None or told.get("pid") != pid:
+                await asyncio.sleep(0.05)
+
+    # -- What the processes say ------------------------------------------------------------------------
+
+    async def _ask(self, member: Member) -> dict[str, Any] | None:
+        """A process's account; None while it gives none."""
+        try:
+            async with asyncio.timeout(3.0):
+                return await asyncio.to_thread(ask, place(member.listen))
+        except (OSError, ValueError, TimeoutError):
+            return None
+
+    def _there(self) -> list[Member]:
+        return [each for each in self.members if each.process is not None and not each.stopped]
+
+    async def look(self) -> dict[int, dict[str, Any]]:
+        """Ask all that run for their account, and note it."""
+        asked = [each for each in self._there() if not each.busy]
+        told = await asyncio.gather(*(self._ask(each) for each in asked))
+        found = {}
+        for member, account in zip(asked, told, strict=True):
+            if account is None:
+                continue
+            found[member.number] = account
+            here = {
+                int(each["name"]): int(each["life"])
+                for each in account["members"]
+                if each["state"] in ("here", "suspected") and each["name"].isdecimal()
+            }
+            here[member.number] = account["life"]
+            self.looks.append(Looked(now() - self._began, member.number, here, account["cut_off"]))
+            for each in account["changes"]:
+                at = each["at"] / 1e6 - self._began
+                if at >= 0.0 and each["member"].isdecimal():
+                    old, new, life = each["old"], each["new"], each["life"]
+                    self._noted.add(Noted(at, member.number, int(each["member"]), old, new, life))
+        self.lives = {number: account["life"] for number, account in found.items()}
+        return found
+
+    def _equal(self, found: dict[int, dict[str, Any]]) -> bool:
+        running = {each.number for each in self._there()}
+        if set(found) != running or any(each["cut_off"] for each in found.values()):
+            return False
+        last = {each.by: dict(each.here) for each in self.looks}
+        return all(last[number] == self.lives for number in running)
+
+    async def until_equal(self, seconds: float) -> bool:
+        """Wait until all views are equal to the truth; whether they became so."""
+        end = now() + seconds
+        while now() < end:
+            if self._equal(await self.look()):
+                return True
+            await asyncio.sleep(LOOK_S / 2)
+        return False
+
+    # -- Faults ----------------------------------------------------------------------------------------
+
+    async def do(self, step: Step) -> None:
+        self.done.append(Done(now() - self._began, step.do, step.who, step.to, step.value))
+        if step.do in ("loss", "delay", "doubled"):
+            setattr(self.relay, {"delay": "delay_s"}.get(step.do, step.do), step.value)
+        elif step.do == "cut":
+            self.relay.cuts |= {(a, b) for a in step.who for b in step.to}
+        elif step.do == "heal":
+            self.relay.cuts.clear()
+        elif step.do == "busy":
+            self._later(self._burn(step.value))
+        elif step.do in ("stop", "kill"):
+            for number in step.who:  # all at once
+                self._signal(self.members[number], step)
+        else:
+            for number in step.who:
+                self._later(self._change(self.members[number], step))
+
+    def _later(self, doing: Any) -> None:
+        task = asyncio.get_running_loop().create_task(doing)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _signal(self, member: Member, step: Step) -> None:
+        process = member.process
+        if process is None:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            if step.do == "kill":
+                process.kill()
+                member.process = None
+                self.clients.leave(member.number)
+                self._later(self._reap(process))
+                return
+            process.send_signal(signal.SIGSTOP)
+            member.stopped = True
+            self._later(self._wake(member, process, step.value))
+
+    @staticmethod
+    async def _reap(process: asyncio.subprocess.Process) -> None:
+        await process.wait()
+
+    async def _wake(self, member: Member, process: asyncio.subprocess.Process, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGCONT)
+        member.stopped = False
+
+    async def _change(self, member: Member, step: Step) -> None:
+        if step.do == "start" and member.process is None:
+            member.busy = True
+            try:
+                await self._launch(member)
+            finally:
+                member.busy = False
+        elif step.do == "leave" and member.process is not None:
+            process, member.process = member.process, None
+            self.clients.leave(member.number)
+            process.send_signal(signal.SIGTERM)
+            await process.wait()
+        elif step.do == "upgrade" and member.process is not None:
+            await self._upgrade(member)
+
+    async def _upgrade(self, member: Member) -> None:
+        """A second process beside the first; then the first ends."""
+        old = member.process
+        assert old is not None
+        member.busy = True
+        try:
+            new = await self._spawn(member)
+            await self._until_up(member, new.pid)
+            old.send_signal(signal.SIGTERM)
+            member.process = new
+            await old.wait()
+        finally:
+            member.busy = False
+
+    async def _burn(self, seconds: float) -> None:
+        """Keep every core busy beside the processes."""
+        code = f"import time\nend=time.monotonic()+{seconds}\nwhile time.monotonic()<end: pass"
+        for _ in range(os.cpu_count() or 1):
+            self._burners.append(await asyncio.create_subprocess_exec(sys.executable, "-c", code))
+        for each in self._burners:
+            await each.wait()
+        self._burners.clear()
+
+    # -- Plays -----------------------------------------------------------------------------------------
+
+    async def play(self, script: Script) -> tuple[Found, Verdicts]:
+        """Play a scene under load and judge it; afterwards all run again and see one another."""
+        self._begin()
+        over = asyncio.Event()
+        touched = {n for step in script.steps if _interrupts(step) for n in step.who}
+        served = [each.number for each in self.members if each.number not in touched]
+        load = asyncio.get_running_loop().create_task(
+            self.clients.load(self._rate, over, lambda: served, lambda n: self.members[n].listen)
+        )
+        watching = asyncio.get_running_loop().create_task(self._watch()) if self.on else None
+        for step in script.steps:
+            await asyncio.sleep(max(self._began + step.at - now(), 0.0))
+            await self.do(step)
+        await asyncio.sleep(max(self._began + script.faults_end_s - now(), 0.0))
+        while self._tasks:
+            await asyncio.gather(*list(self._tasks))
+        ended = now() - self._began
+        if watching is not None:
+            watching.cancel()
+            self.looks.clear()
+            await self.until_equal(script.waits)
+        over.set()
+        await load
+        noted = sorted(self._noted, key=lambda each: each.at)
+        ended_script = replace(script, faults_end_s=ended)
+        found = judge(ended_script, self.done, noted, self.looks, self.lives) if self.on else Found()
+        lives = {each: [(0.0, now())] for each in range(self.count)}
+        verdicts = judge_rules(self.clients.calls, self._reached, self.log.runs, [], lives, [])
+        await self._restore()
+        return found, verdicts
+
+    def _begin(self) -> None:
+        """What was noted of a former scene is not this one's."""
+        self._began = now()
+        self.done.clear()
+        self._noted.clear()
+        self.looks.clear()
+        self.log.runs.clear()
+        self._reached.clear()
+        self.clients.calls.clear()
+
+    async def _watch(self) -> None:
+        while True:
+            await self.look()
+            await asyncio.sleep(2 * LOOK_S)
+
+    async def _restore(self) -> None:
+        self.relay.cuts.clear()
+        self.relay.loss = self.relay.delay_s = self.relay.doubled = 0.0
+        missing = [each for each in self.members if each.process is None]
+        await asyncio.gather(*(self._launch(each) for each in missing))
+        if missing and self.on:
+            await self.until_equal(START_S)
+
+    def logs(self, number: int) -> str:
+        """What a member's processes have logged."""
+        return (self.members[number].folder / "log.txt").read_text(errors="replace")
--- a/tests/sight/test_soundings.py
+++ b/tests/sight/test_soundings.py
@@ -8,6 +8,7 @@
 from helpers import MS, S, Stage, names, settings
 
 from topazbank.interface import ListedServer, ListKind, Outcome, Probe, ProbeEnded, Refuse
+from topazbank.sight.others import Others
 from topazbank.sight.soundings import ASKED, Soundings, expected_us
 
 IDLE = {"inflight": 0.0, "queue": 0.0, "latency_ms": 60.0}
@@ -81,7 +82,7 @@
 
 
 def test_the_share_is_of_the_servers_that_are_there() -> None:
-    soundings = Soundings(settings(**DEAR))
+    soundings = Soundings(settings(**DEAR), Others(settings(**DEAR).group_size))
     soundings.begin(0, 60)
     for report in (FULL, FULL, FULL, None, None, None):
         soundings.heard(report, 0.4)
@@ -89,7 +90,7 @@
 
 
 def test_what_is_heard_long_after_the_start_is_the_windows_business() -> None:
-    soundings = Soundings(settings(**DEAR))
+    soundings = Soundings(settings(**DEAR), Others(settings(**DEAR).group_size))
     soundings.begin(0, 60)
     for _ in range(3):
         soundings.heard(FULL, 0.4)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,6 +11,7 @@
 from topazbank.core.members import Told
 from topazbank.interface import ServerState
 from topazbank.membership.registry import _IDLE_S, Discovery, parse_list
+from topazbank.sight.others import Others
 
 
 def served(*_: object) -> bytes:
@@ -136,7 +137,7 @@
         await service.start()
         waits = []
         for seed in range(8):
-            discovery = Discovery(service.address, 1, lambda told: None, 5000, seed)
+            discovery = Discovery(service.address, 1, lambda told: None, Others(5000), seed)
             discovery.follow(True)
             await until(lambda: len(service.targets) == seed + 1)  # noqa: B023
             waits.append(int(service.targets[-1].rpartition("=")[2]))
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -15,7 +15,7 @@
 import sys
 from collections.abc import Sequence
 
-from topazbank.config import BAD_CONFIG, read_config
+from topazbank.config import BAD_CONFIG, check_tier, read_config
 from topazbank.core.driver import Config, Sidecar, Wiring
 from topazbank.operation.service import Service
 from topazbank.operator import Operator, read_operator
@@ -103,6 +103,7 @@
         operator = read_operator(given.operator)
         config = read_config(os.environ)
         wiring = wire(operator)
+        check_tier(config, operator)
     except (*BAD_CONFIG, ImportError) as bad:  # of a part that is on, and whose library is not installed
         print(f"bad configuration: {bad}".replace("\n", " "), file=sys.stderr)
         return 2
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -54,6 +54,7 @@
 from topazbank.sight import asking
 from topazbank.sight.fading import Fit, Rate
 from topazbank.sight.hearsay import Hearsay, tag_of
+from topazbank.sight.others import Others
 from topazbank.sight.soundings import Soundings, can_tell
 from topazbank.sight.stall import Stall
 from topazbank.sight.strain import Borne, Strain, Verdict
@@ -239,6 +240,7 @@
     def __init__(self, settings: Settings, seed: int, guide: Guide | None = None) -> None:
         """`guide`: whose word on what all balancers do is followed for as far as it goes."""
         self._settings = settings
+        self.others = Others(settings.group_size)  # what is seen of the tier goes in here
         self._guide = guide
         self._random = random.Random(seed)
         self._classes = {each.name: each for each in settings.classes}
@@ -262,7 +264,8 @@
         self._probes = self._probes_a_request()
         # Trials are with requests that may be repeated; else with keyed ones, and with probes where a dial would fail.
         self._tries_safely = any(each.repeat is Repeat.SAFE for each in settings.classes)
-        self._soundings = Soundings(settings) if self._probes <= 1 and can_tell(settings) else None
+        sounds = self._probes <= 1 and can_tell(settings)
+        self._soundings = Soundings(settings, self.others) if sounds else None
         self._crossing = CROSS_GAIN * settings.prices.cross_zone
         self._connecting = CROSS_GAIN * settings.prices.handshake
         self._near_first = self._probes > 1 and self._crossing >= CROSS_LEAST
@@ -276,7 +279,6 @@
         self._stall = Stall(min(each.aim_us for each in settings.classes), settings.tick_us)
         self._begun = False
         self._failed_calls = 0
-        self._ask_most = asking.longest_wait(settings.group_size, settings.rules.ask_within_us)
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
         self._young = 0  # attempts out whose aim is not past, at servers that are not ejected
@@ -297,7 +299,7 @@
         self._strain = Strain(self._longest_aim, settings.late_worth())
         self._borne = Borne(self._longest_aim)
         messages = settings.limits.may_message and settings.group_size > 1
-        self._hearsay = Hearsay(settings.prices.message, settings.group_size) if messages else None
+        self._hearsay = Hearsay(settings.prices.message, self.others) if messages else None
         self._heard_at = 0  # when what others told was last gone through
         self._window = math.inf  # how many own requests in flight the fleet bears in time
         self._served_aims = Rate(self._longest_aim)  # time allowed to what was answered, per time
@@ -328,7 +330,7 @@
             self._size_window(self._load())
         if not self._begun:
             self._begun = True
-            spread = asking.first_spread(self._settings.group_size, self._settings.rules.ask_within_us)
+            spread = asking.first_spread(self.others.most, self._settings.rules.ask_within_us)
             self._ask_in(spread * self._random.random()) if spread > 0.0 else self._ask()
         self._take[type(event)](event)
         self._take_turns()
@@ -360,7 +362,7 @@
 
     def _ask_again_later(self) -> None:
         """After a failed call: wait twice as long each time, with jitter, so that instances spread out."""
-        wait = min(asking.AGAIN * 2**self._failed_calls, 1.0) * self._ask_most
+        wait = asking.wait_after(self._failed_calls, self.others.most, self._settings.rules.ask_within_us)
         self._failed_calls = min(self._failed_calls + 1, 8)
         self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
 
@@ -702,8 +704,7 @@
         if self._now - self._heard_at >= self._stall.beat_us:
             self._heard_at = self._now
             self._hearsay.forget_old(self._now)
-        told = self._hearsay.tell(self._now, [(s.tag, self._busy(s)) for s in self._servers.values()])
-        if told is not None:
+        if told := self._hearsay.tell(self._now, [(s.tag, self._busy(s)) for s in self._servers.values()]):
             self._actions.append(Tell(None, told))
 
     def _guided(self, request: Request, guide: Guide) -> Server | None:
@@ -917,7 +918,7 @@
 
     def _server_rate(self) -> float:
         """Requests a microsecond that a server gets, from all balancers."""
-        from_all = self._arrivals.per_us(self._now) * self._settings.group_size
+        from_all = self._arrivals.per_us(self._now) * self.others.most
         return self._by_held.rate(self._longest_aim) or from_all / max(len(self._ready), 1)
 
     # -- The send gate --------------------------------------------------------------------------------
--- a/topazbank/config.py
+++ b/topazbank/config.py
@@ -11,6 +11,7 @@
 from topazbank.core.net import Address, parse_address
 from topazbank.core.peers import Tier
 from topazbank.membership.registry import parse_list
+from topazbank.operator import Operator
 from topazbank.wirenames import settings_from_wire
 
 BAD_CONFIG = (OSError, ValueError, RecursionError)  # what reading one may raise
@@ -40,6 +41,19 @@
     )
 
 
+def check_tier(config: Config, operator: Operator) -> None:
+    """Whether membership among the sidecars, where it is on, has what it needs; raise ValueError, naming the field."""
+    given = operator.tier
+    if not given.on:
+        return
+    if config.tier is None:
+        raise ValueError("tier.on: the configuration names no peer_listen, where other sidecars are heard")
+    if not config.settings.limits.may_message:
+        raise ValueError("tier.on: the settings do not allow messages between sidecars (bounds.mayTell)")
+    if not given.name and not config.tier.members:
+        raise ValueError("tier.name: wanted where the configuration names no peers, whose numbers are names")
+
+
 def _operator(value: Any) -> Address | None:
     return None if value is None else _address(value, "operator")
 
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -60,6 +60,7 @@
 )
 from topazbank.interface import Discovery as DiscoveryMode
 from topazbank.operation.drain import Drain
+from topazbank.sight.others import Others
 
 log = logging.getLogger(__name__)
 
@@ -117,6 +118,7 @@
     known: Told
     tier: Tier | None = None  # None: sidecars do not hear one another
     operator: Address | None = None  # where operators call; None: nowhere
+    others: Others | None = None  # the size of the tier, as it is seen; None: nobody looks
     folder: str | None = None  # where one process of a sidecar hands over to the next; None: nowhere
 
 
@@ -142,6 +144,26 @@
     def show(self) -> dict[str, Any]: ...
 
 
+class Membership(Protocol):
+    """What finds out who of the tier is here; none costs nothing."""
+
+    def start(self, send: Callable[[Address, bytes], None]) -> None: ...
+
+    def datagram(self, data: bytes, source: Address) -> None: ...
+
+    def leave(self) -> None: ...
+
+    def rest(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+    def show(self) -> dict[str, Any]: ...
+
+    def handed(self) -> dict[str, Any]: ...
+
+
 @dataclass(frozen=True, slots=True)
 class Wiring:
     """The protocols that a sidecar speaks: what makes its clients' connections, and its carriers by name."""
@@ -154,6 +176,7 @@
     dialects: Dialects = field(default_factory=Dialects)
     observer: Callable[[Config, Callable[[], int]], Observer] | None = None
     trace: Callable[[Balancer], Trace] | None = None
+    membership: Callable[[Config, Others, Mapping[str, Any]], Membership] | None = None
 
 
 class Sidecar:
@@ -166,8 +189,12 @@
         clock: Clock | None = None,
         clients: socket.socket | None = None,
         peers: socket.socket | None = None,
+        tier: Mapping[str, Any] | None = None,
     ) -> None:
-        """`clients`, `peers`: sockets that listen already, from a process of the same sidecar that is still there."""
+        """`clients`, `peers`: sockets that listen already, from a process of the same sidecar that is still there.
+
+        `tier`: what that process knows of the others.
+        """
         self._settings = settings = config.settings
         self._clock = clock or Clock()
         self._observer = wiring.observer(config, self._clock.now) if wiring.observer is not None else None
@@ -192,8 +219,13 @@
         self._discovery = self._make_source(config, wiring)
         told = config.tier is not None and settings.limits.may_message
         self._peers = None
+        self._membership: Membership | None = None
         if told and config.tier is not None:
-            self._peers = Peers(config.tier, self._message, peers)
+            member = None
+            if wiring.membership is not None:
+                self._membership = wiring.membership(config, self._balancer.others, tier or {})
+                member = self._membership.datagram
+            self._peers = Peers(config.tier, self._message, peers, member)
         roster = self._show_roster if wiring.show_roster else None
         self.drain = Drain(max(each.deadline_us for each in settings.classes) / 1e6)
         self._looking: asyncio.TimerHandle | None = None  # at what holds, while the sidecar is emptied
@@ -237,6 +269,8 @@
             self._discovery.follow(True)
         if self._peers is not None:
             await self._peers.start()
+            if self._membership is not None:
+                self._membership.start(self._peers.send)
         self.frontend.start()
         if self._observer is not None:
             self._observer.start(lambda: [each.name for each in self._balancer.ejected])
@@ -250,11 +284,35 @@
         if self._observer is not None:
             self._observer.stop()
         self._discovery.stop()
+        if self._membership is not None:
+            self._membership.leave()
+            self._membership.stop()
         if self._peers is not None:
             self._peers.stop()
         await self._nodes.close()
         self._spool.close()
 
+    def rest_in_tier(self) -> None:
+        """Another process is this member of the tier from now on."""
+        if self._membership is not None and self._peers is not None:
+            self._membership.rest()
+            self._peers.rest()
+
+    def resume_in_tier(self) -> None:
+        """That process has ended, and this one is the member again."""
+        if self._membership is not None and self._peers is not None:
+            asyncio.get_running_loop().create_task(self._resume(self._peers, self._membership))
+
+    @staticmethod
+    async def _resume(peers: Peers, membership: Membership) -> None:
+        await peers.resume()
+        membership.resume()
+
+    @property
+    def tier(self) -> dict[str, Any]:
+        """What the next process is told of the others."""
+        return self._membership.handed() if self._membership is not None else {}
+
     def move_discovery(self, address: Address) -> None:
         """Go on with discovery at another address; also where it is the same, asked for by name."""
         log.info("discovery is at %s:%d now", *address)
@@ -276,7 +334,7 @@
             if number == self._source_of_list:
                 self._told(what)
 
-        return wiring.source(config, told)
+        return wiring.source(replace(config, others=self._balancer.others), told)
 
     def carry_out(self) -> None:
         """Carry out what holds of the sidecar as a whole, and look again while it is emptied."""
@@ -582,6 +640,8 @@
         }
         if self._observer is not None:
             told["plan"] = self._observer.show()
+        if self._membership is not None:
+            told["tier"] = self._membership.show()
         return json.dumps(told).encode()
 
     @staticmethod
--- a/topazbank/core/peers.py
+++ b/topazbank/core/peers.py
@@ -10,7 +10,7 @@
 from typing import cast
 
 from topazbank.core.net import Address
-from topazbank.sight.hearsay import MESSAGE_MOST
+from topazbank.sight.hearsay import MESSAGE_MOST, VERSION
 
 log = logging.getLogger(__name__)
 
@@ -28,9 +28,18 @@
     """Sends and hears messages; what can't be sent is lost, as any datagram may be."""
 
     def __init__(
-        self, tier: Tier, heard: Callable[[int, bytes], None], sock: socket.socket | None = None
+        self,
+        tier: Tier,
+        heard: Callable[[int, bytes], None],
+        sock: socket.socket | None = None,
+        member: Callable[[bytes, Address], None] | None = None,
     ) -> None:
-        """`heard` takes the sender's number and the message; `sock`: one that was handed over, bound already."""
+        """`heard` takes the sender's number and the message; `sock`: one that was handed over, bound already.
+
+        `member` takes what is no such message, from whomever: this tier's own, or a stranger's.
+        """
+        self._member = member
+        self._resting: socket.socket | None = None  # a copy of the socket while another process hears by it
         self._sock = sock
         self._tier = tier
         self._numbers = {address: number for number, address in enumerate(tier.members)}
@@ -44,16 +53,36 @@
             if self._sock is not None:
                 await loop.create_datagram_endpoint(lambda: self, sock=self._sock)
             else:
-                await loop.create_datagram_endpoint(lambda: self, local_addr=self._tier.listen)
+                # Beside a process of this sidecar that hangs: what it does not read is lost, as any may be.
+                shared = self._member is not None
+                await loop.create_datagram_endpoint(
+                    lambda: self, local_addr=self._tier.listen, reuse_port=shared or None
+                )
         except OSError as fault:
             log.error("no messages between sidecars: %s:%d: %s", *self._tier.listen, fault)
 
     @property
     def sock(self) -> socket.socket | None:
         """What it hears by, for the process that comes after this one."""
-        return self._transport.get_extra_info("socket") if self._transport is not None else None
+        return self._transport.get_extra_info("socket") if self._transport is not None else self._resting
+
+    def rest(self) -> None:
+        """Leave what comes in to another process that has the same socket."""
+        if self._transport is not None:
+            self._resting = self._transport.get_extra_info("socket").dup()
+            self._transport.close()
+            self._transport = None
+
+    async def resume(self) -> None:
+        """Hear again: the other process has ended."""
+        if self._resting is not None:
+            self._sock, self._resting = self._resting, None
+            await self.start()
 
     def stop(self) -> None:
+        if self._resting is not None:
+            self._resting.close()
+            self._resting = None
         if self._transport is not None:
             self._transport.close()
             self._transport = None
@@ -73,6 +102,11 @@
         for address in addresses:
             self._transport.sendto(payload, address)
 
+    def send(self, address: Address, payload: bytes) -> None:
+        """Send to whatever address; lost while nobody listens here."""
+        if self._transport is not None:
+            self._transport.sendto(payload, address)
+
     # -- What asyncio calls ---------------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -80,6 +114,9 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        if self._member is not None and data[:1] != bytes([VERSION]):
+            self._member(data, (addr[0], addr[1]))
+            return
         number = self._numbers.get((addr[0], addr[1]))
         if number is not None and len(data) <= MESSAGE_MOST:  # what strangers send is not heard
             self._heard(number, data)
--- a/topazbank/membership/registry.py
+++ b/topazbank/membership/registry.py
@@ -15,6 +15,7 @@
 from topazbank.http.connection import Connection, HttpResponse, connect, message
 from topazbank.interface import ListedServer, ServerState
 from topazbank.sight import asking
+from topazbank.sight.others import Others
 
 log = logging.getLogger(__name__)
 
@@ -100,12 +101,12 @@
         address: Address,
         version: int,
         told: Callable[[Told | None], None],
-        sidecars: int = 1,
+        others: Others | None = None,
         seed: int | None = None,
     ) -> None:
-        """`version`: of the list as last held; `sidecars`: that share the registry; `seed`: of what is chance."""
+        """`version`: of the list as last held; `others`: that share the registry; `seed`: of what is chance."""
         self._address = address
-        self._wait_s = asking.watch_s(sidecars)
+        self._others = others or Others(1)
         self._random = random.Random(seed)
         self._version: int | None = version  # None: the whole list is needed, whatever was heard before
         self._told = told
@@ -159,9 +160,8 @@
             if version is None:
                 heard = await self._ask(_PATH, _CALL_S)
             else:
-                wait_s = max(
-                    self._wait_s * (1.0 - asking.SPREAD * self._random.random()), asking.WATCH_LEAST_S
-                )
+                spread = 1.0 - asking.SPREAD * self._random.random()
+                wait_s = max(asking.watch_s(self._others.most) * spread, asking.WATCH_LEAST_S)
                 target = f"{_PATH}?after={version}&wait_ms={int(wait_s * 1000)}"
                 heard = await self._ask(target, wait_s + _LATE_S)
             if not heard:
--- a/topazbank/operation/handover.py
+++ b/topazbank/operation/handover.py
@@ -122,8 +122,13 @@
         sockets: Callable[[], Sequence[socket.socket]],
         known: Callable[[], Mapping[str, Any]],
         shared: Callable[[bool], None],
+        taken: Callable[[], None] = lambda: None,
     ) -> None:
-        """`sockets`: those that listen, clients' first; `shared`: whether another process shares the limits now."""
+        """`sockets`: those that listen, clients' first; `shared`: whether another process shares the limits now.
+
+        `taken` is called once that process takes requests.
+        """
+        self._taken = taken
         self._path = path
         self._sockets = sockets
         self._known = known
@@ -211,6 +216,7 @@
             word = b""
         if word:
             self.succeeded = True
+            self._taken()
             return
         self._drop_link()
         self._shared(False)
--- a/topazbank/operation/service.py
+++ b/topazbank/operation/service.py
@@ -35,10 +35,19 @@
         known = self._before.known
         if known:
             config = _told(config, known)
-        self.sidecar = Sidecar(config, wiring, clients=self._before.clients, peers=self._before.peers)
+        tier = known.get("tier")
+        self.sidecar = Sidecar(
+            config,
+            wiring,
+            clients=self._before.clients,
+            peers=self._before.peers,
+            tier=tier if isinstance(tier, dict) else None,
+        )
         self._handover = None
         if path is not None:
-            self._handover = Handover(path, lambda: self.sidecar.listening, self._snapshot, self._share)
+            self._handover = Handover(
+                path, lambda: self.sidecar.listening, self._snapshot, self._share, self._taken
+            )
         if self._before.link is not None:
             held = (known.get("clients"), known.get("nodes"))
             self._bound([parts(self.sidecar.connections_most, _count(each)).new for each in held])
@@ -77,7 +86,8 @@
         """What the next process is told."""
         known = self.sidecar.known
         clients, nodes = self.sidecar.open
-        return {"list": list_to_json(known.version, known.lines), "clients": clients, "nodes": nodes}
+        told = {"list": list_to_json(known.version, known.lines), "clients": clients, "nodes": nodes}
+        return told | ({"tier": self.sidecar.tier} if self.sidecar.tier else {})
 
     def _share(self, shared: bool) -> None:
         """Take a part of the limits, or all: another process of this sidecar has come, or ended."""
@@ -85,6 +95,11 @@
             self._bound([parts(self.sidecar.connections_most, each).old for each in self.sidecar.open])
         else:
             self.sidecar.bound(None, None)
+            self.sidecar.resume_in_tier()
+
+    def _taken(self) -> None:
+        """The process that came takes requests."""
+        self.sidecar.rest_in_tier()
 
     def _bound(self, most: list[int]) -> None:
         self.sidecar.bound(most[0], most[1])
--- a/topazbank/operator.py
+++ b/topazbank/operator.py
@@ -27,6 +27,8 @@
 PLANNERS_MOST = 7  # that a forwarder tells: each hears each summary
 TEXT_MOST = 200
 TRACE_LINES_MOST = 100_000  # a second
+TIER_DATAGRAM_LEAST, TIER_DATAGRAM_MOST = 256, 1200  # bytes: the platform's bound, and what passes everywhere
+TIER_KEY_MOST = 64  # bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,21 @@
 ELECTIONS = ("static", ZOOKEEPER)
 
 
+@dataclass(frozen=True, slots=True)
+class Tiering:
+    """Membership among the sidecars: docs/operators/tier.md."""
+
+    on: bool = False
+    name: str = ""  # of this sidecar among them; by default its number in the configuration's `peers`
+    period_ms: int = 200  # between two probes
+    pause_ms: int = 1000  # a process that stands still for less is taken for gone by nobody
+    forget_s: int = 600  # how long the gone are remembered
+    datagram: int = 256
+    key: str = field(
+        default="", repr=False
+    )  # shared by all; with it also those may join whom `peers` don't name
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """All that the operator file sets."""
@@ -75,6 +92,7 @@
     pods: Mapping[int, str] = field(default_factory=dict)
     membership: Membership = field(default_factory=Membership)
     planning: Planning = field(default_factory=Planning)
+    tier: Tiering = field(default_factory=Tiering)
     trace_lines: int = 0  # a second, beside the log: what was decided, event by event; 0: none
     show_roster: bool = False  # GET /admin/roster on the one listener
 
@@ -92,7 +110,7 @@
 
 def operator_from(given: Mapping[str, Any]) -> Operator:
     """Check what the file holds; a name that is not known is an error, since it would set nothing."""
-    top = _Table("", given, ("msgpack_rpc", "nodes", "membership", "planning", "admin", "trace"))
+    top = _Table("", given, ("msgpack_rpc", "nodes", "membership", "planning", "tier", "admin", "trace"))
     admin = top.table("admin", ("roster",))
     trace = top.table("trace", ("lines_per_second",))
     rpc = top.table("msgpack_rpc", MsgpackRpc.__dataclass_fields__)
@@ -111,6 +129,7 @@
         pods,
         _membership(top),
         _planning(top),
+        _tier(top),
         trace.whole("lines_per_second", 0, 0, TRACE_LINES_MOST),
         show_roster=admin.flag("roster"),
     )
@@ -158,6 +177,22 @@
     return made
 
 
+def _tier(top: _Table) -> Tiering:
+    given = top.table("tier", Tiering.__dataclass_fields__)
+    made = Tiering(
+        given.flag("on"),
+        given.text("name", ""),
+        given.whole("period_ms", 200, 50, 10_000),
+        given.whole("pause_ms", 1000, 100, 60_000),
+        given.whole("forget_s", 600, 60, 86_400),
+        given.whole("datagram", 256, TIER_DATAGRAM_LEAST, TIER_DATAGRAM_MOST),
+        given.hidden("key", TIER_KEY_MOST),
+    )
+    if made.forget_s * 1000 < 20 * made.pause_ms:
+        raise ValueError("tier.forget_s: twenty times pause_ms at least is wanted")
+    return made
+
+
 class _Table:
     """One table of the file; each complaint names the path of the field."""
 
@@ -241,6 +276,13 @@
             raise self._wanted(name, f"a number from {low:g} to {high:g}")
         return float(value)
 
+    def hidden(self, name: str, most: int) -> str:
+        """A text that no complaint shows."""
+        value = self._given.get(name, "")
+        if not isinstance(value, str) or len(value.encode()) > most:
+            raise ValueError(f"{self._path}{name}: a text of {most} bytes at most is wanted")
+        return value
+
     def secret(self, name: str) -> str:
         """A user and a password; no complaint shows them."""
         value = self._given.get(name, "")
--- a/topazbank/sight/asking.py
+++ b/topazbank/sight/asking.py
@@ -17,6 +17,11 @@
     return max(MOST, min(sidecars / FLEET, LAST)) * allowed_us
 
 
+def wait_after(failed: int, sidecars: int, allowed_us: int) -> float:
+    """The wait after so many failed calls, microseconds, before chance shortens it: doubled up to the longest."""
+    return min(AGAIN * 2.0**failed, 1.0) * longest_wait(sidecars, allowed_us)
+
+
 def first_spread(sidecars: int, allowed_us: int) -> float:
     """Over how long the first calls of a fleet that starts at once are spread, microseconds; 0 in a small one."""
     return longest_wait(sidecars, allowed_us) - MOST * allowed_us
--- a/topazbank/sight/hearsay.py
+++ b/topazbank/sight/hearsay.py
@@ -15,6 +15,8 @@
 import zlib
 from collections.abc import Iterable
 
+from topazbank.sight.others import Others
+
 VERSION = 1
 MESSAGE_MOST = 256  # bytes, by the platform
 ENTRY = struct.Struct("<HB")
@@ -39,15 +41,16 @@
         "_bytes_a_request",
         "_credit",
         "_heard",
-        "_listeners",
+        "_others",
         "_told_at",
         "_told_something",
         "_total",
     )
 
-    def __init__(self, price: float, group_size: int) -> None:
+    def __init__(self, price: float, others: Others) -> None:
         """`price`: points of service that a full message costs for each first try."""
-        self._listeners = group_size - 1
+        self._others = others
+        others.when_gone(self._drop)
         # What may be delivered for each first try.  Free messages are as dear as one that costs a point.
         self._bytes_a_request = SPEND * MESSAGE_MOST / max(price, SPEND / 4.0)
         self._credit = 0.0  # bytes that may be delivered now
@@ -58,6 +61,10 @@
         ] = {}  # by sender: when, and its counts; SENDERS_MOST
         self._total: dict[int, int] = {}  # over all of them
 
+    @property
+    def _listeners(self) -> int:
+        return self._others.most - 1
+
     def arrived(self) -> None:
         """Note a first try: it pays for messages."""
         most = SAVED_MOST * MESSAGE_MOST * self._listeners
--- a/topazbank/sight/soundings.py
+++ b/topazbank/sight/soundings.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 
 from topazbank.interface import ReportSource, Settings
+from topazbank.sight.others import Others
 
 ASKED = 6  # servers probed at a start: half of them may be gone
 CROWDED_PART = 0.5  # of those that have not failed, this part crowded tells of a fleet that is full
@@ -28,11 +29,11 @@
 class Soundings:
     """The probes of one start, and what they came to."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, others: Others) -> None:
         aims = [each.aim_us for each in settings.classes]
         self._aim_us = sum(aims) / len(aims)
         self._longest_aim_us = max(aims)
-        self._sidecars = max(settings.group_size, 1)
+        self._others = others
         self.asked = 0
         self._asked_until = 0
         self._taken = 0
@@ -70,7 +71,7 @@
         if self._crowded < CROWDED_PART * (self.asked - self._failed):
             return None  # nor can it be told yet, while answers are awaited that may say otherwise
         alive = ready * self._taken / (self._taken + self._failed)
-        return self._held / self._taken * alive / self._sidecars
+        return self._held / self._taken * alive / self._others.most
 
 
 def expected_us(report: Mapping[str, float]) -> float | None:
--- /dev/null
+++ b/topazbank/tier/service.py
@@ -0,0 +1,257 @@
+"""A sidecar's part in its tier, on sockets: datagrams to the detector, and what the view says to who goes by it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from topazbank.core.driver import Config
+from topazbank.core.net import Address
+from topazbank.operator import Tiering
+from topazbank.sight.others import Others
+from topazbank.tier.detector import Before, Change, Detector, Out
+from topazbank.tier.member import Record, State, ident_of
+from topazbank.tier.rules import Rules
+from topazbank.tier.view import View
+from topazbank.tier.wire import BadMessage, decode, encode
+
+log = logging.getLogger(__name__)
+
+HEARD_MOST = 500  # datagrams a second that are read; more are a flood, and dropped unread
+LINES_MOST = 10  # of the log a second
+CHANGES_KEPT = 512  # the latest, for `show`
+
+
+class TierService:
+    """One process's part in the tier."""
+
+    def __init__(
+        self,
+        given: Tiering,
+        config: Config,
+        others: Others,
+        known: Mapping[str, Any],
+        clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000,
+    ) -> None:
+        """`known`: of the process that this one follows; `clock`: microseconds that only go on."""
+        assert config.tier is not None
+        self._clock = clock
+        self._others = others
+        self._told = config.settings.group_size
+        self._key = given.key.encode()
+        members = config.tier.members
+        listen = config.tier.listen
+        number = members.index(listen) if listen in members else config.settings.me
+        self.name = given.name or str(number)
+        self._names = {ident_of(self.name): self.name}
+        book: dict[int, Address] = {}
+        self._numbers: dict[int, int] = {}  # of the members that `peers` name, by ident
+        if not given.name:  # then all others' names are their numbers, too
+            for each, address in enumerate(members):
+                ident = ident_of(str(each))
+                self._names[ident], self._numbers[ident] = str(each), each
+                if each != number:
+                    book[ident] = address
+        seeds = [each for n, each in enumerate(members) if each != listen and n != number]
+        self._allowed = set(seeds)
+        rules = Rules(
+            given.period_ms * 1000, given.pause_ms * 1000, given.forget_s * 1_000_000, given.datagram
+        )
+        before = before_from(known)
+        life = time.time_ns() // 1_000_000
+        me = ident_of(self.name)
+        self.detector = Detector(me, life, clock(), rules, seeds, book, config.seed & 0xFFFFFFFF, before)
+        self.view = View(self.detector)
+        self.dropped: Counter[str] = Counter()  # datagrams, by why; four reasons
+        self._changes: list[dict[str, Any]] = []  # CHANGES_KEPT
+        self._send: Callable[[Address, bytes], None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._second, self._lines, self._heard = 0, 0, 0
+        self._sent = 0
+        self._resting = False
+
+    # -- Life ------------------------------------------------------------------------------------------
+
+    def start(self, send: Callable[[Address, bytes], None]) -> None:
+        """Take part from now on."""
+        self._send = send
+        self._tick()
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._send = None
+
+    def leave(self) -> None:
+        """This sidecar ends: say so, unless another process is this member now."""
+        if not self._resting:
+            self._post(self.detector.leave(self._clock()))
+
+    def rest(self) -> None:
+        """Another process is this member now."""
+        self._resting = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def resume(self) -> None:
+        """It has ended, and this one is the member again."""
+        if self._resting and self._send is not None:
+            self._resting = False
+            log.info("tier: takes part again, the process that came has ended")
+            self.detector.resume(self._clock())
+            self._tick()
+
+    # -- In and out ------------------------------------------------------------------------------------
+
+    def datagram(self, data: bytes, source: Address) -> None:
+        """Take what came from there; what is none of the tier's is counted and dropped."""
+        if self._resting:
+            return
+        self._turn_second()
+        self._heard += 1
+        if self._heard > HEARD_MOST:
+            self.dropped["flood"] += 1
+            return
+        if not self._key and source not in self._allowed and not self.detector.known_address(source):
+            self.dropped["stranger"] += 1
+            return
+        try:
+            message = decode(data, self._key) if len(data) <= self.detector.rules.datagram else None
+        except BadMessage:
+            message = None
+        if message is None:
+            self.dropped["unreadable"] += 1
+            return
+        self._allowed.add(source)
+        self._after(self.detector.handle(self._clock(), message, source))
+
+    def _tick(self) -> None:
+        self._after(self.detector.tick(self._clock()))
+
+    def _after(self, out: list[Out]) -> None:
+        """Send what is to be sent, see what has changed, and set the next timer."""
+        self._post(out)
+        now = self._clock()
+        changes, self.detector.changes = self.detector.changes, []
+        for each in changes:
+            self._note(each)
+        before = self.view.cut_off
+        if self.view.look(now):
+            self._others.most = max(self.view.at_most(now, self._told), 1)
+        if before is not self.view.cut_off:
+            here = f"{self.view.here()} here of {self.detector.base(now)}"
+            self._log(f"tier: {'cut off' if self.view.cut_off else 'in touch'}, {here}")
+        if self._timer is not None:
+            self._timer.cancel()
+        wait = max(self.detector.due - now, 1000) / 1e6
+        self._timer = asyncio.get_running_loop().call_later(wait, self._tick)
+
+    def _post(self, out: list[Out]) -> None:
+        if self._send is None:
+            return
+        for each in out:
+            self._sent += 1
+            self._send(each.to, encode(each.message, self._key))
+
+    def _note(self, change: Change) -> None:
+        old = change.old.name if change.old is not None else None
+        new = change.new.name if change.new is not None else None
+        name = self._name(change.ident)
+        shown = {"at": change.at, "member": name, "old": old, "new": new, "life": change.record.life}
+        self._changes.append(shown | {"why": change.why})
+        del self._changes[:-CHANGES_KEPT]
+        self._log(
+            f"tier: {name} is {(new or 'forgotten').lower()}, was {(old or 'unknown').lower()}: {change.why}"
+        )
+        number = self._numbers.get(change.ident)
+        if number is not None and change.new in (State.GONE, State.LEFT):
+            self._others.gone(number)
+
+    def _log(self, text: str) -> None:
+        self._turn_second()
+        self._lines += 1
+        if self._lines <= LINES_MOST:
+            log.info("%s", text)
+
+    def _turn_second(self) -> None:
+        second = self._clock() // 1_000_000
+        if second != self._second:
+            self._second, self._lines, self._heard = second, 0, 0
+
+    def _name(self, ident: int) -> str:
+        return self._names.get(ident, f"{ident:012x}")
+
+    # -- What others are told --------------------------------------------------------------------------
+
+    def handed(self) -> dict[str, Any]:
+        """For the process that takes this one's place."""
+        known = self.detector.before()
+        records = [
+            [each.ident, each.life, each.incarnation, int(each.state), each.address, each.about]
+            for each in known.records
+        ]
+        return {
+            "life": known.life,
+            "incarnation": known.incarnation,
+            "count": known.count,
+            "records": records,
+        }
+
+    def show(self) -> dict[str, Any]:
+        """For operators."""
+        now = self._clock()
+        marks = {ident & 0xFFFF: name for ident, name in self._names.items()}
+        members = [
+            {
+                "name": self._name(each.ident),
+                "answer": each.answer.value,
+                "state": each.record.state.name.lower(),
+                "life": each.record.life,
+                "incarnation": each.record.incarnation,
+                "address": "{}:{}".format(*each.record.address) if each.record.address else "",
+                "age_s": None if each.age_us is None else round(each.age_us / 1e6, 3),
+                "suspected_s": None if each.suspected_us is None else round(each.suspected_us / 1e6, 3),
+                "by": [marks.get(mark, f"{mark:04x}") for mark in each.witnesses],
+            }
+            for each in self.view.members(now)
+        ]
+        return {
+            "name": self.name,
+            "now": now,
+            "pid": os.getpid(),
+            "life": self.detector.life,
+            "incarnation": self.detector.incarnation,
+            "cut_off": self.view.cut_off,
+            "number": self.view.number,
+            "sure": round(self.view.sure(now), 3),
+            "at_most": self.view.at_most(now, self._told),
+            "goes_by": self._others.most,
+            "taken": self.detector.taken_by is not None,
+            "troubles": self.detector.health.score,
+            "stalls": self.detector.stalls,
+            "sent": self._sent,
+            "dropped": dict(self.dropped),
+            "members": members,
+            "changes": self._changes,
+        }
+
+
+def before_from(known: Mapping[str, Any]) -> Before | None:
+    """What a process before this one handed over; None where that is not whole."""
+    try:
+        records = tuple(
+            Record(
+                int(ident), int(life), int(inc), State(state), tuple(address) if address else None, int(about)
+            )
+            for ident, life, inc, state, address, about in known["records"]
+        )
+        return Before(int(known["life"]), int(known["incarnation"]), int(known["count"]), records)
+    except (KeyError, TypeError, ValueError):
+        return None
--- a/topazbank/tier/wire.py
+++ b/topazbank/tier/wire.py
@@ -1,6 +1,6 @@
 """What members of a tier write to one another: one datagram a message, versioned and checked; no I/O.
 
-    head     magic, version, kind, 0; sender's ident, life, incarnation; its messages so far; probe, target, digest, size
+    head     magic, version, kind, 0; sender (ident, life, incarnation, messages so far); probe, target, digest, size
     sections type (1 byte), length (2), content; a reader skips types that it does not know
     check    4 bytes: BLAKE2b of all before them, keyed where the operator gives a key
 
--- a/topazbank/wiring.py
+++ b/topazbank/wiring.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Callable, Mapping
 from functools import partial
+from typing import Any
 
 from topazbank.core.driver import Config, Observer, Wiring
+from topazbank.core.driver import Membership as Tier
 from topazbank.core.listener import Speaks
 from topazbank.core.members import Dialects, Source, Told
 from topazbank.core.net import Address
@@ -16,7 +18,8 @@
 from topazbank.interface import Settings
 from topazbank.membership.both import Several
 from topazbank.membership.registry import Discovery
-from topazbank.operator import REGISTRY, ZOOKEEPER, Membership, Operator, Planning, ZooKeeper
+from topazbank.operator import REGISTRY, ZOOKEEPER, Membership, Operator, Planning, Tiering, ZooKeeper
+from topazbank.sight.others import Others
 
 
 def wire(operator: Operator) -> Wiring:
@@ -52,6 +55,7 @@
         dialects,
         partial(_forwarding, operator.planning) if operator.planning.planners else None,
         partial(Trace, lines_per_second=operator.trace_lines) if operator.trace_lines else None,
+        partial(_membership, operator.tier) if operator.tier.on else None,
     )
 
 
@@ -62,12 +66,19 @@
     return Forwarding(name, given.planners, now, config.seed)
 
 
+def _membership(given: Tiering, config: Config, others: Others, known: Mapping[str, Any]) -> Tier:
+    from topazbank.tier.service import TierService
+
+    return TierService(given, config, others, known)
+
+
 Hear = Callable[[Told | None], None]
 
 
 def _source(membership: Membership, config: Config, told: Hear) -> Source:
-    sidecars = config.settings.group_size
-    return membership_source(membership, config.discovery, told, config.known.version, config.seed, sidecars)
+    return membership_source(
+        membership, config.discovery, told, config.known.version, config.seed, config.others
+    )
 
 
 def membership_source(
@@ -76,11 +87,11 @@
     told: Hear,
     version: int = 0,
     seed: int | None = None,
-    sidecars: int = 1,
+    others: Others | None = None,
 ) -> Source:
     """The sources that an operator file names; the registry alone is itself, as the platform has it."""
     makers: dict[str, Callable[[Hear], Source]] = {
-        REGISTRY: partial(_registry, registry, version, sidecars, seed),
+        REGISTRY: partial(_registry, registry, version, others, seed),
         ZOOKEEPER: partial(_zookeeper, membership.zookeeper, seed),
     }
     if membership.sources == (REGISTRY,):
@@ -88,9 +99,11 @@
     return Several({name: makers[name] for name in membership.sources}, told)
 
 
-def _registry(address: Address | None, version: int, sidecars: int, seed: int | None, told: Hear) -> Source:
+def _registry(
+    address: Address | None, version: int, others: Others | None, seed: int | None, told: Hear
+) -> Source:
     assert address is not None
-    return Discovery(address, version, told, sidecars, seed)
+    return Discovery(address, version, told, others, seed)
 
 
 def _zookeeper(given: ZooKeeper, seed: int | None, told: Hear) -> Source:
