--- a/standins/tier/judge.py
+++ b/standins/tier/judge.py
@@ -42,6 +42,7 @@
     by: int
     here: Mapping[int, int]
     cut_off: bool
+    doubted: int = 0  # members that it suspects
 
 
 @dataclass(slots=True)
@@ -75,17 +76,30 @@
         if gone and script.nobody_gone and each.whom not in script.excused:
             found.false_gone += 1
             found.faults.append(f"{each.by} called {each.whom} gone at {each.at:.2f} s, and it lived")
+    _risen(found, done, noted, killed)
     _kills(found, done, noted, killed, known_s)
     _equal(found, script, looks, lives)
     return found
 
 
+def _risen(found: Found, done: Sequence[Done], noted: Sequence[Noted], killed: Mapping[int, float]) -> None:
+    """Of who was killed and stays away: nobody that knew sees it here again."""
+    started = {who for each in done if each.do == "start" for who in each.who}
+    knew: set[tuple[int, int]] = set()
+    for each in noted:
+        if each.whom in killed and each.whom not in started and each.at >= killed[each.whom]:
+            if each.new in ("GONE", None):
+                knew.add((each.by, each.whom))
+            elif each.new == "HERE" and (each.by, each.whom) in knew:
+                found.faults.append(f"{each.by} saw {each.whom} back from the dead at {each.at:.2f} s")
+
+
 def _kills(
     found: Found, done: Sequence[Done], noted: Sequence[Noted], killed: Mapping[int, float], known_s: float
 ) -> None:
     """Of each that was killed and stayed away: by when each other that lived on knew."""
     started = {who for each in done if each.do == "start" for who in each.who}
-    disturbed = any(each.do in ("cut", "stop", "busy") for each in done)
+    disturbed = any(each.do in ("cut", "stop", "busy", "loss", "delay") for each in done)
     for whom, at in killed.items():
         if whom in started or disturbed or len(killed) > 1:
             continue
@@ -106,7 +120,7 @@
     wrong_at: float | None = None
     for each in looks:
         last[each.by] = each
-        if each.cut_off or dict(each.here) != dict(lives):
+        if each.cut_off or each.doubted or dict(each.here) != dict(lives):
             wrong_at = each.at
     for by in lives:
         look = last.get(by)
@@ -114,6 +128,8 @@
             found.faults.append(f"{by} gave no account of its view")
         elif look.cut_off:
             found.faults.append(f"{by} says that it is cut off, and is not")
+        elif look.doubted:
+            found.faults.append(f"{by} still suspects {look.doubted} that are here")
         elif dict(look.here) != dict(lives):
             missed, more = set(lives) - set(look.here), set(look.here) - set(lives)
             found.faults.append(f"{by} misses {sorted(missed)[:5]} and sees {sorted(more)[:5]} too many")
--- a/standins/tier/played.py
+++ b/standins/tier/played.py
@@ -263,7 +263,8 @@
                 if each.counts and ident in self.idents
             }
             here[number] = process.detector.life
-            self.looks.append(Looked(self.now, number, here, process.view.cut_off))
+            doubted = len(process.detector.suspicions)
+            self.looks.append(Looked(self.now, number, here, process.view.cut_off, doubted))
 
     def play(self, script: Script, settle_s: float = 3.0) -> Found:
         """Play a scene to its end, after a while for all to find one another."""
--- a/standins/tier/rig.py
+++ b/standins/tier/rig.py
@@ -163,7 +163,7 @@
         process = await self._spawn(member)
         member.process, member.stopped = process, False
         if self.on:
-            await self._until_up(member, process.pid)
+            await self._until_up(member, process)
         else:
             await self._until_ready(member)
 
@@ -196,9 +196,13 @@
                         return
                 await asyncio.sleep(0.05)
 
-    async def _until_up(self, member: Member, pid: int) -> None:
+    async def _until_up(self, member: Member, process: asyncio.subprocess.Process) -> None:
+        """Wait for its first account; a scene may kill it before."""
         async with asyncio.timeout(START_S):
-            while (told := await self._ask(member)) is None or told.get("pid") != pid:
+            while process.returncode is None:
+                told = await self._ask(member)
+                if told is not None and told.get("pid") == process.pid:
+                    return
                 await asyncio.sleep(0.05)
 
     # -- What the processes say ------------------------------------------------------------------------
@@ -229,7 +233,8 @@
                 if each["state"] in ("here", "suspected") and each["name"].isdecimal()
             }
             here[member.number] = account["life"]
-            self.looks.append(Looked(now() - self._began, member.number, here, account["cut_off"]))
+            doubted = sum(each["state"] == "suspected" for each in account["members"])
+            self.looks.append(Looked(now() - self._began, member.number, here, account["cut_off"], doubted))
             for each in account["changes"]:
                 at = each["at"] / 1e6 - self._began
                 if at >= 0.0 and each["member"].isdecimal():
@@ -239,6 +244,9 @@
         return found
 
     def _equal(self, found: dict[int, dict[str, Any]]) -> bool:
+        doubted = {each.by: each.doubted for each in self.looks}
+        if any(doubted[number] for number in found):
+            return False
         running = {each.number for each in self._there()}
         if set(found) != running or any(each["cut_off"] for each in found.values()):
             return False
@@ -325,7 +333,7 @@
         member.busy = True
         try:
             new = await self._spawn(member)
-            await self._until_up(member, new.pid)
+            await self._until_up(member, new)
             old.send_signal(signal.SIGTERM)
             member.process = new
             await old.wait()
--- a/topazbank/tier/detector.py
+++ b/topazbank/tier/detector.py
@@ -70,6 +70,7 @@
 @dataclass(slots=True)
 class _Probe:
     target: int
+    life: int  # of the target, when it was sent
     to: Address
     ask_at: int
     fail_at: int
@@ -356,7 +357,7 @@
             direct = int(DIRECT_PART * self.rules.period_us)
             ask_at = now + min(self.health.stretch(direct), 2 * self.rules.period_us)
             fail_at = now + self.health.stretch(self.rules.period_us)
-            self._probes[number] = _Probe(target.ident, to, ask_at, fail_at)
+            self._probes[number] = _Probe(target.ident, target.life, to, ask_at, fail_at)
         self._send(now, to, Kind.PING, number, target.ident)
 
     def _ask_others(self, now: int, probe: _Probe, number: int) -> None:
@@ -376,7 +377,7 @@
         if not probe.nacks and probe.answers_wanted:
             self.health.worse()  # not even helpers were heard
         record = self.table.records.get(probe.target)
-        if record is not None and record.counts:
+        if record is not None and record.counts and record.life == probe.life:
             self._suspect(now, record, self._mark, mine=True)
 
     def _address_of(self, record: Record) -> Address | None:
