--- a/standins/tier/relay.py
+++ b/standins/tier/relay.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import random
 import socket
 from collections import Counter
@@ -27,6 +29,7 @@
     def __init__(self, members: list[Address], seed: int) -> None:
         """`members`: where each really hears and sends from."""
         self._members = members
+        self._host = members[0][0]
         self._numbers = {address: number for number, address in enumerate(members)}
         self._random = random.Random(seed)
         self._doors: list[asyncio.DatagramTransport] = []
@@ -40,7 +43,7 @@
         for number in range(len(self._members)):
             transport, _ = await loop.create_datagram_endpoint(
                 lambda number=number: _Door(self, number),  # type: ignore[misc]
-                local_addr=("127.0.0.1", 0),
+                local_addr=(self._host, 0),
             )
             self._doors.append(transport)
             self.doors.append(transport.get_extra_info("sockname")[:2])
@@ -73,16 +76,25 @@
             self._doors[sender].sendto(data, self._members[to])  # from the sender's own door
 
 
-def free_udp() -> Address:
+_rigs = itertools.count()
+
+
+def own_host() -> str:
+    """A loopback address that no other rig uses: a port that a killed process has left stays its own."""
+    pid = os.getpid()
+    return f"127.{64 + next(_rigs) % 128}.{pid >> 8 & 0xFF}.{1 + pid % 254}"
+
+
+def free_udp(host: str) -> Address:
     """An address where nobody hears yet."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((host, 0))
         found: Address = sock.getsockname()
         return found
 
 
-def free_tcp() -> Address:
+def free_tcp(host: str) -> Address:
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((host, 0))
         found: Address = sock.getsockname()
         return found
--- a/standins/tier/rig.py
+++ b/standins/tier/rig.py
@@ -22,7 +22,7 @@
 from standins.lodge import Lodge, LodgeServer, Memory, RunLog
 from standins.registry import Registry
 from standins.tier.judge import Done, Found, Looked, Noted, judge
-from standins.tier.relay import Relay, free_tcp, free_udp
+from standins.tier.relay import Relay, free_tcp, free_udp, own_host
 from standins.tier.scenes import PAUSE_BORNE_S, Script, Step
 from standins.wire import HTTP, MSGPACK_RPC, Address, Asked, place
 from topazbank.tier.__main__ import ask
@@ -84,12 +84,12 @@
         """`on`: whether membership is; `rate`: calls a second, over all sidecars that no fault touches."""
         self.count, self.seed, self.on, self._rate = members, seed, on, rate
         self._folder = tempfile.TemporaryDirectory(prefix="tier-")
-        root = Path(self._folder.name)
+        root, host = Path(self._folder.name), own_host()
         self.members = []
         for number in range(members):
             folder = root / str(number)
             folder.mkdir()
-            self.members.append(Member(number, free_tcp(), free_udp(), folder))
+            self.members.append(Member(number, free_tcp(host), free_udp(host), folder))
         self.relay = Relay([each.hears for each in self.members], seed)
         self.registry = Registry()
         self.nodes: list[LodgeServer] = []
@@ -171,7 +171,7 @@
         env = os.environ | {
             "RELAY_CONFIG": str(self._configuration(member)),
             "RELAY_LISTEN": place(member.listen),
-            "RELAY_OPERATOR": place(free_tcp()),
+            "RELAY_OPERATOR": place(free_tcp(member.listen[0])),
             "TMPDIR": str(member.folder),
         }
         command = [sys.executable]
