--- a/standins/tier/played.py
+++ b/standins/tier/played.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import functools
 import heapq
 import itertools
+import operator
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping
@@ -14,7 +16,7 @@
 from standins.tier.scenes import Script, Step
 from topazbank.core.net import Address
 from topazbank.tier.detector import Detector, Out
-from topazbank.tier.member import Record, State, ident_of
+from topazbank.tier.member import Record, State, ident_of, mark_of
 from topazbank.tier.rules import Rules
 from topazbank.tier.view import View
 from topazbank.tier.wire import Message, encode
@@ -87,6 +89,7 @@
         self._order = itertools.count()
         self._lives = 0
         base = self._settled() if settled else None
+        self._digest = functools.reduce(operator.xor, map(mark_of, (base or {}).values()), 0)
         for number in range(members):
             self.start(number, base)
 
@@ -127,18 +130,15 @@
             self.random.getrandbits(32),
         )
         if known is not None:
-            self._know(detector, known)
+            self._know(detector, known, self._digest)
         process = Life(number, detector, View(detector), self.now)
         self.lives[number] = process
         self._arm(process, self.now + self.random.random() * self.rules.period_us / 1e6)
 
     @staticmethod
-    def _know(detector: Detector, known: Mapping[int, Record]) -> None:
+    def _know(detector: Detector, known: Mapping[int, Record], digest: int) -> None:
         """Let it know all others, as after a long time together."""
-        for ident, record in known.items():
-            if ident != detector.me:
-                detector.table.put(0, record)
-        detector.table.shuffle()
+        detector.table.settle(known, digest, detector.me)
 
     def kill(self, number: int) -> None:
         self.lives.pop(number, None)
--- a/tests/tier/test_played_scenes.py
+++ b/tests/tier/test_played_scenes.py
@@ -8,6 +8,7 @@
 
 from standins.tier.played import Played
 from standins.tier.scenes import SCENES
+from topazbank.core.bounds import tier_messages_a_second
 from topazbank.tier.rules import Rules
 
 
@@ -38,3 +39,23 @@
     one, other = Played(6, 4), Played(6, 4)
     assert one.play(script).suspected == other.play(script).suspected
     assert one.noted == other.noted and one.sent == other.sent
+
+
+@pytest.mark.parametrize("members", [8, 100, 400])
+def test_messages_a_member_and_second_do_not_grow_with_the_tier(members: int) -> None:
+    rig = Played(members, 1, measured=True, settled=True)
+    rig.run(1.0)
+    rig.sent.clear()
+    rig.run(4.0)
+    assert rig.sent["messages"] / members / 3.0 <= tier_messages_a_second(Rules())
+    assert rig.sent["longest"] <= Rules().datagram
+
+
+def test_under_loss_no_member_sends_more_than_the_bound_for_trouble() -> None:
+    rig = Played(24, 1, measured=True)
+    rig.run(3.0)
+    rig.faults.loss = 0.4
+    rig.sent_by.clear()
+    rig.run(13.0)
+    assert max(rig.sent_by.values()) / 10.0 <= tier_messages_a_second(Rules(), trouble=True)
+    assert rig.sent["longest"] <= Rules().datagram
--- a/topazbank/core/bounds.py
+++ b/topazbank/core/bounds.py
@@ -18,6 +18,7 @@
 from topazbank.sight import asking
 from topazbank.sight.hearsay import EVERY_LEAST_US, SENDERS_MOST
 from topazbank.sight.soundings import ASKED, can_tell
+from topazbank.tier.rules import HELPERS, SUSPECTS_PROBED, TOMB_EVERY, Rules
 
 CHANCE = 4.0  # standard deviations allowed to what comes by chance
 PEAK_SPAN_S = 60.0
@@ -114,3 +115,16 @@
         "list calls a second, most": busiest_second(fleet, outage),
         "tells": told,
     }
+
+
+def tier_messages_a_second(rules: Rules, trouble: bool = False) -> float:
+    """Datagrams that one sidecar sends for membership, whatever the size of its tier; each of `rules.datagram` at most.
+
+    In calm a probe and an answer in each period, and now and then one to who is gone and one to a silent seed.
+    `trouble`: every probe fails, and so do others': helpers are asked and ask in turn, and suspects are probed again.
+    Owner: `tier.detector.Detector`; what mends views is bounded apart (`tier.rules.MEND_DATAGRAMS` a reply).
+    """
+    each = 2.0 + 2.0 / TOMB_EVERY
+    if trouble:
+        each += 1.0 + 4.0 * HELPERS + 2.0 * SUSPECTS_PROBED
+    return each * 1e6 / rules.period_us
--- a/topazbank/tier/table.py
+++ b/topazbank/tier/table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 from topazbank.tier.member import Record, State, mark_of
 from topazbank.tier.rules import MEMBERS_MOST
@@ -60,8 +60,12 @@
             self.counted -= 1
             self.digest ^= mark_of(record)
 
-    def shuffle(self) -> None:
-        """Begin a round anew, in another order."""
+    def settle(self, known: Mapping[int, Record], digest: int, me: int) -> None:
+        """Hold these at once, but the own one; `digest`: the sum of all their marks.  All of them count."""
+        self.records = dict(known)
+        own = self.records.pop(me, None)
+        self.counted = len(self.records)
+        self.digest = digest ^ (mark_of(own) if own is not None else 0)
         self._turns.clear()
 
     def next_turn(self) -> Record | None:
