--- a/standins/tier/relay.py
+++ b/standins/tier/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import os
 import random
@@ -29,7 +30,7 @@
     def __init__(self, members: list[Address], seed: int) -> None:
         """`members`: where each really hears and sends from."""
         self._members = members
-        self._host = members[0][0]
+        self._host = own_host()  # apart from the members', whose ports are free while none runs
         self._numbers = {address: number for number, address in enumerate(members)}
         self._random = random.Random(seed)
         self._doors: list[asyncio.DatagramTransport] = []
@@ -85,16 +86,12 @@
     return f"127.{64 + next(_rigs) % 128}.{pid >> 8 & 0xFF}.{1 + pid % 254}"
 
 
-def free_udp(host: str) -> Address:
-    """An address where nobody hears yet."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind((host, 0))
-        found: Address = sock.getsockname()
-        return found
-
-
-def free_tcp(host: str) -> Address:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        found: Address = sock.getsockname()
+def free(host: str, count: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> list[Address]:
+    """So many addresses where nobody listens yet, no two alike: each is held until the last is found."""
+    with contextlib.ExitStack() as held:
+        found: list[Address] = []
+        for _ in range(count):
+            sock = held.enter_context(socket.socket(socket.AF_INET, kind))
+            sock.bind((host, 0))
+            found.append(sock.getsockname())
         return found
--- a/standins/tier/rig.py
+++ b/standins/tier/rig.py
@@ -8,6 +8,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -22,10 +23,10 @@
 from standins.lodge import Lodge, LodgeServer, Memory, RunLog
 from standins.registry import Registry
 from standins.tier.judge import Done, Found, Looked, Noted, judge
-from standins.tier.relay import Relay, free_tcp, free_udp, own_host
+from standins.tier.relay import Relay, free, own_host
 from standins.tier.scenes import PAUSE_BORNE_S, Script, Step
 from standins.wire import HTTP, MSGPACK_RPC, Address, Asked, place
-from topazbank.tier.__main__ import ask
+from topazbank.tier.__main__ import ask_tier
 
 ROOT = Path(__file__).parent.parent.parent
 EXAMPLE = ROOT / "deploy" / "example.json"
@@ -71,6 +72,7 @@
     number: int
     listen: Address
     hears: Address
+    operators: list[Address]  # of two processes, by turns
     folder: Path
     process: asyncio.subprocess.Process | None = None
     stopped: bool = False
@@ -85,11 +87,15 @@
         self.count, self.seed, self.on, self._rate = members, seed, on, rate
         self._folder = tempfile.TemporaryDirectory(prefix="tier-")
         root, host = Path(self._folder.name), own_host()
+        listens = free(host, 3 * members)  # for clients, and for operators of two processes
+        hears = free(host, members, socket.SOCK_DGRAM)
         self.members = []
         for number in range(members):
             folder = root / str(number)
             folder.mkdir()
-            self.members.append(Member(number, free_tcp(host), free_udp(host), folder))
+            self.members.append(
+                Member(number, listens[number], hears[number], listens[members + number :: members], folder)
+            )
         self.relay = Relay([each.hears for each in self.members], seed)
         self.registry = Registry()
         self.nodes: list[LodgeServer] = []
@@ -125,8 +131,8 @@
             OPERATOR.format(on="true" if self.on else "false")
         )
         await asyncio.gather(*(self._launch(each) for each in self.members))
-        if self.on:
-            await self.until_equal(START_S)
+        if self.on and not await self.until_equal(START_S):
+            raise RuntimeError(f"not all see one another: {self.looks[-self.count :]}")
 
     async def stop(self) -> None:
         for task in list(self._tasks):
@@ -171,9 +177,10 @@
         env = os.environ | {
             "RELAY_CONFIG": str(self._configuration(member)),
             "RELAY_LISTEN": place(member.listen),
-            "RELAY_OPERATOR": place(free_tcp(member.listen[0])),
+            "RELAY_OPERATOR": place(member.operators[0]),
             "TMPDIR": str(member.folder),
         }
+        member.operators.reverse()  # the next process beside this one has the other
         command = [sys.executable]
         if (COMPILED / "stamp").exists():
             env["PYTHONPATH"] = str(COMPILED)
@@ -204,6 +211,8 @@
                 if told is not None and told.get("pid") == process.pid:
                     return
                 await asyncio.sleep(0.05)
+        if process is member.process:  # no scene has killed it
+            raise RuntimeError(f"member {member.number} ended: {self.logs(member.number)[-300:]}")
 
     # -- What the processes say ------------------------------------------------------------------------
 
@@ -211,7 +220,7 @@
         """A process's account; None while it gives none."""
         try:
             async with asyncio.timeout(3.0):
-                return await asyncio.to_thread(ask, place(member.listen))
+                return await asyncio.to_thread(ask_tier, place(member.listen))
         except (OSError, ValueError, TimeoutError):
             return None
 
--- a/standins/tier/ways.py
+++ b/standins/tier/ways.py
@@ -9,12 +9,12 @@
 import math
 import random
 from collections import deque
-from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from statistics import NormalDist
+from typing import Any
 
 from topazbank.core.net import Address
-from topazbank.tier.detector import Before, Change, Out
+from topazbank.tier.detector import Change, Out
 from topazbank.tier.member import Record, State
 from topazbank.tier.rules import Rules
 from topazbank.tier.table import Table
@@ -28,19 +28,9 @@
 class Heartbeats:
     """All tell all that they are here; who is silent for the wait is gone, by each one's own count."""
 
-    def __init__(
-        self,
-        me: int,
-        life: int,
-        now: int,
-        rules: Rules,
-        seeds: Sequence[Address] = (),
-        book: Mapping[int, Address] | None = None,
-        seed: int = 0,
-        before: Before | None = None,
-    ) -> None:
+    def __init__(self, me: int, life: int, now: int, rules: Rules, *_: Any) -> None:
         self.me, self.life, self.incarnation, self.rules = me, life, 0, rules
-        self.table = Table(random.Random(seed))
+        self.table = Table(random.Random(0))  # its turns are not used
         self.suspicions: dict[int, None] = {}
         self.changes: list[Change] = []
         self.due = now
@@ -87,18 +77,8 @@
 class PhiAccrual(Heartbeats):
     """The same heartbeats; the wait goes by how each member's have come so far."""
 
-    def __init__(
-        self,
-        me: int,
-        life: int,
-        now: int,
-        rules: Rules,
-        seeds: Sequence[Address] = (),
-        book: Mapping[int, Address] | None = None,
-        seed: int = 0,
-        before: Before | None = None,
-    ) -> None:
-        super().__init__(me, life, now, rules, seeds, book, seed, before)
+    def __init__(self, me: int, life: int, now: int, rules: Rules, *_: Any) -> None:
+        super().__init__(me, life, now, rules)
         self._gaps: dict[int, deque[float]] = {}
 
     def heard_from(self, now: int, ident: int) -> None:
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -144,7 +144,7 @@
     def show(self) -> dict[str, Any]: ...
 
 
-class Membership(Protocol):
+class TierPart(Protocol):
     """What finds out who of the tier is here; none costs nothing."""
 
     def start(self, send: Callable[[Address, bytes], None]) -> None: ...
@@ -176,7 +176,7 @@
     dialects: Dialects = field(default_factory=Dialects)
     observer: Callable[[Config, Callable[[], int]], Observer] | None = None
     trace: Callable[[Balancer], Trace] | None = None
-    membership: Callable[[Config, Others, Mapping[str, Any]], Membership] | None = None
+    tier_part: Callable[[Config, Others, Mapping[str, Any]], TierPart] | None = None
 
 
 class Sidecar:
@@ -219,12 +219,12 @@
         self._discovery = self._make_source(config, wiring)
         told = config.tier is not None and settings.limits.may_message
         self._peers = None
-        self._membership: Membership | None = None
+        self._tier_part: TierPart | None = None
         if told and config.tier is not None:
             member = None
-            if wiring.membership is not None:
-                self._membership = wiring.membership(config, self._balancer.others, tier or {})
-                member = self._membership.datagram
+            if wiring.tier_part is not None:
+                self._tier_part = wiring.tier_part(config, self._balancer.others, tier or {})
+                member = self._tier_part.datagram
             self._peers = Peers(config.tier, self._message, peers, member)
         roster = self._show_roster if wiring.show_roster else None
         self.drain = Drain(max(each.deadline_us for each in settings.classes) / 1e6)
@@ -269,8 +269,8 @@
             self._discovery.follow(True)
         if self._peers is not None:
             await self._peers.start()
-            if self._membership is not None:
-                self._membership.start(self._peers.send)
+            if self._tier_part is not None:
+                self._tier_part.start(self._peers.send)
         self.frontend.start()
         if self._observer is not None:
             self._observer.start(lambda: [each.name for each in self._balancer.ejected])
@@ -284,9 +284,9 @@
         if self._observer is not None:
             self._observer.stop()
         self._discovery.stop()
-        if self._membership is not None:
-            self._membership.leave()
-            self._membership.stop()
+        if self._tier_part is not None:
+            self._tier_part.leave()
+            self._tier_part.stop()
         if self._peers is not None:
             self._peers.stop()
         await self._nodes.close()
@@ -294,24 +294,24 @@
 
     def rest_in_tier(self) -> None:
         """Another process is this member of the tier from now on."""
-        if self._membership is not None and self._peers is not None:
-            self._membership.rest()
+        if self._tier_part is not None and self._peers is not None:
+            self._tier_part.rest()
             self._peers.rest()
 
     def resume_in_tier(self) -> None:
         """That process has ended, and this one is the member again."""
-        if self._membership is not None and self._peers is not None:
-            asyncio.get_running_loop().create_task(self._resume(self._peers, self._membership))
+        if self._tier_part is not None and self._peers is not None:
+            asyncio.get_running_loop().create_task(self._resume(self._peers, self._tier_part))
 
     @staticmethod
-    async def _resume(peers: Peers, membership: Membership) -> None:
+    async def _resume(peers: Peers, part: TierPart) -> None:
         await peers.resume()
-        membership.resume()
+        part.resume()
 
     @property
     def tier(self) -> dict[str, Any]:
         """What the next process is told of the others."""
-        return self._membership.handed() if self._membership is not None else {}
+        return self._tier_part.handed() if self._tier_part is not None else {}
 
     def move_discovery(self, address: Address) -> None:
         """Go on with discovery at another address; also where it is the same, asked for by name."""
@@ -640,8 +640,8 @@
         }
         if self._observer is not None:
             told["plan"] = self._observer.show()
-        if self._membership is not None:
-            told["tier"] = self._membership.show()
+        if self._tier_part is not None:
+            told["tier"] = self._tier_part.show()
         return json.dumps(told).encode()
 
     @staticmethod
--- a/topazbank/operation/handover.py
+++ b/topazbank/operation/handover.py
@@ -23,7 +23,6 @@
 from pathlib import Path
 from typing import Any
 
-from topazbank.core.net import Address
 from topazbank.operation.upgrade import HEAD, BadSnapshot, length_of, pack, unpack
 
 log = logging.getLogger(__name__)
@@ -44,11 +43,6 @@
     link: socket.socket | None = None  # open as long as the other lives
 
 
-def path_in(folder: str | None, listen: Address) -> Path | None:
-    """Where a sidecar at this address hands over; None: nowhere."""
-    return None if not folder else Path(folder) / f"topazbank-{listen[0]}-{listen[1]}.sock"
-
-
 @contextlib.contextmanager
 def _within(path: Path) -> Any:
     """A name for the path that a Unix socket's address has room for, however long the folder's is."""
--- a/topazbank/plan.py
+++ b/topazbank/plan.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import argparse
-import http.client
 import json
 import socket
 import sys
@@ -19,6 +18,7 @@
 
 from topazbank.core.net import Address, parse_address
 from topazbank.planning import record
+from topazbank.roster import ask
 
 _WAIT_S = 5.0
 _EVERY_S = 1.0  # between two records: a planner's own rates fade over as much
@@ -80,13 +80,7 @@
 
 def ask_forwarder(address: Address) -> dict[str, Any]:
     """Raise OSError or ValueError where there is no plan to be had."""
-    connection = http.client.HTTPConnection(*address, timeout=_WAIT_S)
-    connection.request("GET", "/admin/roster")
-    answer = connection.getresponse()
-    body = answer.read()
-    if answer.status != 200:
-        raise ValueError(f"status {answer.status}; is [admin] roster on?")
-    plan = json.loads(body).get("plan")
+    plan = ask(address).get("plan")
     if plan is None:
         raise ValueError("it has no [planning] planners")
     return dict(plan)
@@ -165,7 +159,7 @@
     except ImportError:
         print("plots need the extra 'plots': pip install 'topazbank[plots]'", file=sys.stderr)
         return 1
-    except (OSError, ValueError, http.client.HTTPException) as fault:
+    except (OSError, ValueError) as fault:
         print(f"nothing from {given.source}: {fault}", file=sys.stderr)
         return 1
     print("\n".join(lines))
--- a/topazbank/roster.py
+++ b/topazbank/roster.py
@@ -11,7 +11,7 @@
 import sys
 from typing import Any
 
-from topazbank.core.net import parse_address
+from topazbank.core.net import Address, parse_address
 
 _WAIT_S = 5.0
 
@@ -31,24 +31,32 @@
     return lines
 
 
+def ask(address: Address) -> dict[str, Any]:
+    """A sidecar's account of itself; raise OSError or ValueError where there is none."""
+    connection = http.client.HTTPConnection(*address, timeout=_WAIT_S)
+    try:
+        connection.request("GET", "/admin/roster")
+        answer = connection.getresponse()
+        body = answer.read()
+    except http.client.HTTPException as fault:
+        raise OSError(str(fault)) from None
+    finally:
+        connection.close()
+    if answer.status != 200:
+        raise ValueError(f"status {answer.status}; is [admin] roster on?")
+    return dict(json.loads(body))
+
+
 def main(argv: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="topazbank.roster", description=(__doc__ or "").split("\n")[0])
     parser.add_argument("address", metavar="HOST:PORT", help="where the sidecar listens")
     given = parser.parse_args(argv)
     try:
-        connection = http.client.HTTPConnection(*parse_address(given.address), timeout=_WAIT_S)
-        connection.request("GET", "/admin/roster")
-        answer = connection.getresponse()
-        body = answer.read()
-    except (OSError, ValueError, http.client.HTTPException) as fault:
+        told = ask(parse_address(given.address))
+    except (OSError, ValueError) as fault:
         print(f"no roster from {given.address}: {fault}", file=sys.stderr)
         return 1
-    if answer.status != 200:
-        print(
-            f"no roster from {given.address}: status {answer.status}; is [admin] roster on?", file=sys.stderr
-        )
-        return 1
-    print("\n".join(table(json.loads(body))))
+    print("\n".join(table(told)))
     return 0
 
 
--- a/topazbank/tier/__main__.py
+++ b/topazbank/tier/__main__.py
@@ -6,15 +6,12 @@
 from __future__ import annotations
 
 import argparse
-import http.client
-import json
 import sys
 import time
 from typing import Any
 
 from topazbank.core.net import parse_address
-
-_WAIT_S = 5.0
+from topazbank.roster import ask
 
 
 def table(told: dict[str, Any], now_ms: int) -> list[str]:
@@ -41,20 +38,9 @@
     return lines
 
 
-def ask(address: str) -> dict[str, Any]:
-    """The sidecar's account; raise OSError or ValueError where there is none."""
-    connection = http.client.HTTPConnection(*parse_address(address), timeout=_WAIT_S)
-    try:
-        connection.request("GET", "/admin/roster")
-        answer = connection.getresponse()
-        body = answer.read()
-    except http.client.HTTPException as fault:
-        raise OSError(str(fault)) from None
-    finally:
-        connection.close()
-    if answer.status != 200:
-        raise ValueError(f"status {answer.status}; is [admin] roster on?")
-    told = json.loads(body).get("tier")
+def ask_tier(address: str) -> dict[str, Any]:
+    """The sidecar's account of its tier; raise OSError or ValueError where there is none."""
+    told = ask(parse_address(address)).get("tier")
     if told is None:
         raise ValueError("[tier] is off there")
     return dict(told)
@@ -66,7 +52,7 @@
     parser.add_argument("address", metavar="HOST:PORT", help="where the sidecar listens for clients")
     given = parser.parse_args(argv)
     try:
-        told = ask(given.address)
+        told = ask_tier(given.address)
     except (OSError, ValueError) as fault:
         print(f"no tier from {given.address}: {fault}", file=sys.stderr)
         return 1
--- a/topazbank/tier/detector.py
+++ b/topazbank/tier/detector.py
@@ -153,7 +153,6 @@
         self.taken_by: int | None = None  # a later life of this name: another process has it
         self.left = False
         self.stalls = 0
-        self._refuted_at = -1
         if before is not None:
             self._follow(now, before)
 
@@ -222,9 +221,9 @@
         """How many others it was told of at its start."""
         return len(self._seeds)
 
-    def returned(self) -> Iterable[tuple[int, int]]:
-        """Members that came back from the gone, and how often of late."""
-        return [(ident, times) for ident, (times, _) in self._returns.items()]
+    def unsteady(self, now: int) -> int:
+        """How many members go in and out, and are held as unsure."""
+        return sum(self.hold_until(ident) > now for ident in self._returns)
 
     def word_at(self, ident: int) -> int | None:
         """When a word of this member was last had, by anyone who told."""
@@ -239,11 +238,8 @@
         times, at = self._returns.get(ident, (0, 0))
         return at + (AGAIN_HOLD_US << min(times - 2, AGAIN_MOST)) if times > 1 else 0
 
-    def known_address(self, address: Address) -> bool:
-        """Whether a message from there may be a member's."""
-        return address in self._addresses()
-
-    def _addresses(self) -> set[Address]:
+    def addresses(self) -> set[Address]:
+        """From where a message may be a member's."""
         told = {each.address for each in self.table.records.values() if each.address is not None}
         return told | set(self._seeds) | set(self._book.values())
 
@@ -279,7 +275,9 @@
             each.since = now
         self.heard_at = self.answered_at = now
         self._beat = now
-        if late > wait // 2 and not self.left:  # long enough that some may have given it up
+        if (
+            late > wait // 2 and not self.left and self.taken_by is None
+        ):  # long enough that some may have given it up
             self._raise(now)
 
     def _go_on(self, now: int) -> None:
@@ -642,7 +640,6 @@
             self.life, self.incarnation = self.life + 1, 0
         else:
             self.incarnation += 1
-        self._refuted_at = now
         self._tell_of(self.me)
         if self.rules.doubting:
             for each in self.table.some(HELPERS):  # told at once: the wait that it ends may be nearly over
--- a/topazbank/tier/service.py
+++ b/topazbank/tier/service.py
@@ -58,7 +58,6 @@
                 if each != number:
                     book[ident] = address
         seeds = [each for n, each in enumerate(members) if each != listen and n != number]
-        self._allowed = set(seeds)
         rules = Rules(
             given.period_ms * 1000, given.pause_ms * 1000, given.forget_s * 1_000_000, given.datagram
         )
@@ -67,6 +66,8 @@
         me = ident_of(self.name)
         self.detector = Detector(me, life, clock(), rules, seeds, book, config.seed & 0xFFFFFFFF, before)
         self.view = View(self.detector)
+        self._allowed = self.detector.addresses()  # as of when the members last changed
+        self._stale = False
         self.dropped: Counter[str] = Counter()  # datagrams, by why; four reasons
         self._changes: list[dict[str, Any]] = []  # CHANGES_KEPT
         self._send: Callable[[Address, bytes], None] | None = None
@@ -119,7 +120,7 @@
         if self._heard > HEARD_MOST:
             self.dropped["flood"] += 1
             return
-        if not self._key and source not in self._allowed and not self.detector.known_address(source):
+        if not self._key and not self._is_known(source):
             self.dropped["stranger"] += 1
             return
         try:
@@ -129,9 +130,14 @@
         if message is None:
             self.dropped["unreadable"] += 1
             return
-        self._allowed.add(source)
         self._after(self.detector.handle(self._clock(), message, source))
 
+    def _is_known(self, source: Address) -> bool:
+        """Whether a member may write from there; a flood of strangers costs a look-up each."""
+        if source not in self._allowed and self._stale:
+            self._allowed, self._stale = self.detector.addresses(), False
+        return source in self._allowed
+
     def _tick(self) -> None:
         self._after(self.detector.tick(self._clock()))
 
@@ -161,6 +167,7 @@
             self._send(each.to, encode(each.message, self._key))
 
     def _note(self, change: Change) -> None:
+        self._stale = True
         old = change.old.name if change.old is not None else None
         new = change.new.name if change.new is not None else None
         name = self._name(change.ident)
--- a/topazbank/tier/view.py
+++ b/topazbank/tier/view.py
@@ -2,7 +2,7 @@
 
 The promise.  "Not here" is said only of who left by its own word, or has been unheard by all for longer than a pause
 lasts, by a process that hears more than half of its tier.  Where that does not hold the answer is "can't tell", and
-whoever depends on it takes the safe side.  `at_least` and `at_most` are the two sides of the tier's size.
+whoever depends on it takes the safe side.  `at_most` is the safe side of the tier's size.
 """
 
 from __future__ import annotations
@@ -41,14 +41,13 @@
 class View:
     """A detector's verdicts, read with doubt."""
 
-    __slots__ = ("_calm_at", "_detector", "_held", "_number", "_seen", "cut_off")
+    __slots__ = ("_calm_at", "_detector", "_number", "_seen", "cut_off")
 
     def __init__(self, detector: Detector) -> None:
         self._detector = detector
         self._number = 0
         self._seen: tuple[int, int, int, bool] | None = None
         self._calm_at = 0  # when it was last cut off, or first looked at
-        self._held: set[int] = set()  # members that go in and out
         self.cut_off = True  # nothing was heard yet
 
     def look(self, now: int) -> bool:
@@ -59,8 +58,7 @@
         settled = now - self._calm_at >= SETTLED_PERIODS * self._detector.rules.period_us
         self.cut_off = off or (self.cut_off and not settled)
         detector = self._detector
-        self._held = {ident for ident, _ in detector.returned() if detector.hold_until(ident) > now}
-        seen = (detector.digest, len(detector.table.gone), len(self._held), self.cut_off)
+        seen = (detector.digest, len(detector.table.gone), detector.unsteady(now), self.cut_off)
         changed = seen != self._seen
         self._number += changed
         self._seen = seen
@@ -117,11 +115,6 @@
             return Answer.CANT_TELL
         return Answer.CANT_TELL if self.cut_off else Answer.HERE
 
-    def at_least(self, now: int) -> int:
-        """Members that are here for sure: who needs others for something counts on these."""
-        unsure = len(self._detector.suspicions) + len(self._held)
-        return 1 if self.cut_off else max(self._detector.size - unsure, 1)
-
     def at_most(self, now: int, told: int) -> int:
         """Members that may be here: who shares something with them divides by this.
 
--- a/topazbank/wiring.py
+++ b/topazbank/wiring.py
@@ -6,8 +6,7 @@
 from functools import partial
 from typing import Any
 
-from topazbank.core.driver import Config, Observer, Wiring
-from topazbank.core.driver import Membership as Tier
+from topazbank.core.driver import Config, Observer, TierPart, Wiring
 from topazbank.core.listener import Speaks
 from topazbank.core.members import Dialects, Source, Told
 from topazbank.core.net import Address
@@ -55,7 +54,7 @@
         dialects,
         partial(_forwarding, operator.planning) if operator.planning.planners else None,
         partial(Trace, lines_per_second=operator.trace_lines) if operator.trace_lines else None,
-        partial(_membership, operator.tier) if operator.tier.on else None,
+        partial(_tier_part, operator.tier) if operator.tier.on else None,
     )
 
 
@@ -66,7 +65,7 @@
     return Forwarding(name, given.planners, now, config.seed)
 
 
-def _membership(given: Tiering, config: Config, others: Others, known: Mapping[str, Any]) -> Tier:
+def _tier_part(given: Tiering, config: Config, others: Others, known: Mapping[str, Any]) -> TierPart:
     from topazbank.tier.service import TierService
 
     return TierService(given, config, others, known)
