Ports picked for a process are on a loopback address that nobody else binds

The port had been picked at 127.0.0.1 and let go, and another test's server was given it before the program bound it. Ruled out: the program's own front, as it answers no binary call in HTTP.

The rig's way to pick ports (standins/ports.py now) serves the tests of the program's life, the demo and the processes of planners too.

--- a/standins/demo/__main__.py
+++ b/standins/demo/__main__.py
@@ -14,7 +14,6 @@
 import os
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -25,6 +24,7 @@
 
 from standins.clients import Caller, Wish, caller
 from standins.lodge import SPEEDS, Lodge, LodgeServer, Memory, RunLog
+from standins.ports import free, own_host
 from standins.registry import Registry
 from standins.wire import HTTP, MSGPACK_RPC, Address, Asked, place
 from standins.zookeeper import Ensemble
@@ -146,8 +146,7 @@
 @contextlib.asynccontextmanager
 async def sidecar(fleet: Fleet, folder: Path) -> AsyncIterator[Address]:
     """The real program, with the example configuration made to fit; its log goes to a file in `folder`."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        listen: Address = free.getsockname()[:2]
+    (listen,) = free(own_host(), 1)
     given: dict[str, Any] = json.loads(EXAMPLE.read_text(encoding="utf-8"))
     given |= {
         "listen": place(listen),
--- a/standins/fleet/wide.py
+++ b/standins/fleet/wide.py
@@ -16,7 +16,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -33,6 +32,7 @@
 from standins.fleet.rig import EXAMPLE, SPEED_NAMES, Noting
 from standins.fleet.worker import Spec
 from standins.lodge import SPEEDS, LodgeServer, Memory, RunLog
+from standins.ports import free, own_host
 from standins.registry import Registry
 from standins.wire import Address, Asked, place
 from topazbank.plan import ask_planner
@@ -48,7 +48,7 @@
     """Planner processes, by number; ranks tell who leads, lower first."""
 
     def __init__(self, count: int, registry: Address, folder: Path) -> None:
-        self.addresses = [("127.0.0.1", _free_port()) for _ in range(count)]
+        self.addresses = free(own_host(), count)
         self._registry = registry
         self._folder = folder
         self._processes: list[subprocess.Popen[str] | None] = [None] * count
@@ -260,11 +260,6 @@
         return judge(self._calls, self._reached, self.log.runs, self._words, self._lives, fallen)
 
 
-def _free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 # -- Scenes ------------------------------------------------------------------------------------------
 
 Scene = Callable[[Wide, float], Awaitable[None]]
--- a/standins/tier/relay.py
+++ b/standins/tier/relay.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import itertools
-import os
 import random
-import socket
 from collections import Counter
 from typing import Any
 
+from standins.ports import own_host
 from standins.wire import Address
 
 
@@ -75,23 +72,3 @@
     def _deliver(self, sender: int, to: int, data: bytes) -> None:
         if not self._doors[sender].is_closing():
             self._doors[sender].sendto(data, self._members[to])  # from the sender's own door
-
-
-_rigs = itertools.count()
-
-
-def own_host() -> str:
-    """A loopback address that no other rig uses: a port that a killed process has left stays its own."""
-    pid = os.getpid()
-    return f"127.{64 + next(_rigs) % 128}.{pid >> 8 & 0xFF}.{1 + pid % 254}"
-
-
-def free(host: str, count: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> list[Address]:
-    """So many addresses where nobody listens yet, no two alike: each is held until the last is found."""
-    with contextlib.ExitStack() as held:
-        found: list[Address] = []
-        for _ in range(count):
-            sock = held.enter_context(socket.socket(socket.AF_INET, kind))
-            sock.bind((host, 0))
-            found.append(sock.getsockname())
-        return found
--- a/standins/tier/rig.py
+++ b/standins/tier/rig.py
@@ -21,9 +21,10 @@
 from standins.fleet.judge import Reached, Verdicts
 from standins.fleet.judge import judge as judge_rules
 from standins.lodge import Lodge, LodgeServer, Memory, RunLog
+from standins.ports import free, own_host
 from standins.registry import Registry
 from standins.tier.judge import Done, Found, Looked, Noted, judge
-from standins.tier.relay import Relay, free, own_host
+from standins.tier.relay import Relay
 from standins.tier.scenes import PAUSE_BORNE_S, Script, Step
 from standins.wire import HTTP, MSGPACK_RPC, Address, Asked, place
 from topazbank.tier.__main__ import ask_tier
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -29,6 +29,7 @@
     world,
 )
 
+from standins.ports import free, own_host
 from standins.wire import HTTP
 from topazbank.__main__ import Flood
 from topazbank.core.net import Address
@@ -134,10 +135,7 @@
     await server.start()
     known = {"index": 1, "snapshot": True, "endpoints": [server.entry()]}
     where = "{}:{}".format(*discovery.address)
-    # Port 0 is no address to be told, so a free one is picked and given back just before.
-    free = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-    listen: Address = free.sockets[0].getsockname()[:2]
-    free.close()
+    (listen,) = free(own_host(), 1)  # port 0 is no address to be told
     process = await launch(
         tmp_path / "config.json", config(listen="{}:{}".format(*listen), discovery=where, known=known)
     )
