Planners learn from the tier which forwarders live, and forget the silent ones

Needed: a planner counted a forwarder that had died until its table was full, since the silent were only looked for then; so the parts of the others' room stayed too small, and the dead one's word on ejected nodes went on counting. The planner drops those whose last plan has lapsed; one that still reaches the planner is never dropped, and the death of a former life drops nobody. Summaries without a tier are byte for byte as before. Ruled out: planners as members of the tier, which would need datagrams where they may not be.

--- a/benchmarks/planners.py
+++ b/benchmarks/planners.py
@@ -134,7 +134,7 @@
     for number in range(first, first + count):
         each = Forwarding(f"f-{number}", [planner], now, number)
         each.listed(servers)
-        each.start(list)
+        each.start(list, lambda: None)
         made.append(each)
         if number % 50 == 49:
             await asyncio.sleep(0.02)
--- a/tests/planning/test_planner.py
+++ b/tests/planning/test_planner.py
@@ -12,6 +12,7 @@
 from topazbank.planning.plan import LEASE_MOST, S
 from topazbank.planning.planner import Member, Planner
 from topazbank.planning.summary import NODES_MOST, Collector, NodeUse, Sketch, Summary
+from topazbank.tier.member import Lives
 
 NODES = {f"n-{number}": Member(f"n-{number}", (0.5, 1.0, 2.0)[number % 3]) for number in range(6)}
 SUMMARY = Summary("f", "life", 1, S // 10, -1, "", -1, None, {"look": (1, 1, 0)}, {})
@@ -178,3 +179,43 @@
     for part in (0.1, 0.5, 0.99):
         assert one.quantile(part) == pytest.approx(part * 1e6, rel=0.25)
     assert Sketch().quantile(0.5) is None
+
+
+def _two_forwarders() -> Planner:
+    """A planner that two forwarders of one tier tell: `f` of ident 1 and `g` of ident 2, with as much to do each."""
+    made = leading()
+    for number in range(1, 40):
+        at = START + number * S // 10
+        for name, ident in (("f", 1), ("g", 2)):
+            told = replace(SUMMARY, forwarder=name, number=number, classes={"look": (9, 9, 0)})
+            made.heard(at, replace(told, lives=Lives((ident, 70))))
+    return made
+
+
+def test_the_part_of_a_forwarder_that_the_tier_knows_to_be_gone_is_the_others_once_its_plan_has_lapsed() -> (
+    None
+):
+    made = _two_forwarders()
+    last = START + 39 * S // 10
+    gone = replace(SUMMARY, number=40, classes={"look": (9, 9, 0)}, lives=Lives((1, 70), ((2, 70),)))
+    made.heard(last + S // 10, gone)
+    assert made.status(last)["forwarders"] == 2, "its plan may hold yet"
+    made.heard(last + S, replace(gone, number=41))
+    assert made.status(last)["forwarders"] == 1
+    back = replace(SUMMARY, forwarder="g", number=40, lives=Lives((2, 70)))
+    assert made.heard(last + 2 * S, back) is not None
+    made.heard(last + 2 * S + 1, replace(gone, number=42))
+    assert made.status(last)["forwarders"] == 2, "its own word is newer than what the tier says"
+
+
+def test_the_death_of_a_former_life_drops_nobody() -> None:
+    made = _two_forwarders()
+    gone = replace(SUMMARY, number=40, lives=Lives((1, 70), ((2, 69),)))
+    made.heard(START + 6 * S, gone)
+    assert made.status(START)["forwarders"] == 2
+
+
+def test_who_says_nothing_for_long_is_forgotten_also_while_there_is_room() -> None:
+    made = _two_forwarders()
+    made.heard(START + 60 * S, replace(SUMMARY, number=40))
+    assert made.status(START)["forwarders"] == 1
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -61,6 +61,7 @@
 from topazbank.interface import Discovery as DiscoveryMode
 from topazbank.operation.drain import Drain
 from topazbank.sight.others import Others
+from topazbank.tier.member import Lives
 
 log = logging.getLogger(__name__)
 
@@ -125,7 +126,7 @@
 class Observer(Guide, Protocol):
     """What watches the sidecar's requests and may guide its decision module; none costs nothing."""
 
-    def start(self, ejected: Callable[[], Collection[str]]) -> None: ...
+    def start(self, ejected: Callable[[], Collection[str]], lives: Callable[[], Lives | None]) -> None: ...
 
     def stop(self) -> None: ...
 
@@ -159,6 +160,8 @@
 
     def stop(self) -> None: ...
 
+    def lives(self) -> Lives: ...
+
     def show(self) -> dict[str, Any]: ...
 
     def handed(self) -> dict[str, Any]: ...
@@ -273,7 +276,9 @@
                 self._tier_part.start(self._peers.send)
         self.frontend.start()
         if self._observer is not None:
-            self._observer.start(lambda: [each.name for each in self._balancer.ejected])
+            part = self._tier_part
+            lives = part.lives if part is not None else lambda: None
+            self._observer.start(lambda: [each.name for each in self._balancer.ejected], lives)
         lag = asyncio.get_running_loop().create_task(self._watch_lag())
         began()
         self.drain.serve()
--- a/topazbank/planning/forwarder.py
+++ b/topazbank/planning/forwarder.py
@@ -13,6 +13,7 @@
 from topazbank.planning.plan import Follower, Plan, S
 from topazbank.planning.summary import Collector
 from topazbank.planning.wire import encode_summary
+from topazbank.tier.member import Lives
 
 PERIOD = S // 10  # between summaries until a planner asks for another
 JITTER = 0.1  # of a period: forwarders that started together spread out
@@ -30,12 +31,16 @@
         self._links = [PlannerLink(each, now, self._hear, seed + n) for n, each in enumerate(planners)]
         self._timer: asyncio.TimerHandle | None = None
         self._ejected: Callable[[], Collection[str]] = tuple
+        self._lives: Callable[[], Lives | None] = lambda: None
 
     # -- What the driver tells --------------------------------------------------------------------------
 
-    def start(self, ejected: Callable[[], Collection[str]]) -> None:
-        """Begin to tell planners; `ejected` gives the nodes that the decision module leaves alone."""
-        self._ejected = ejected
+    def start(self, ejected: Callable[[], Collection[str]], lives: Callable[[], Lives | None]) -> None:
+        """Begin to tell planners; `ejected` gives the nodes that the decision module leaves alone.
+
+        `lives`: what is known of the tier, None where this sidecar is in none.
+        """
+        self._ejected, self._lives = ejected, lives
         self._later(self._random.random())
 
     def stop(self) -> None:
@@ -93,7 +98,7 @@
             (following.epoch, following.planner, following.sequence),
             frozenset(self._ejected()),
         )
-        summary.age = following.age
+        summary.age, summary.lives = following.age, self._lives()
         encoded = encode_summary(summary)
         for link in self._links:
             link.send(encoded)
--- a/topazbank/planning/planner.py
+++ b/topazbank/planning/planner.py
@@ -104,8 +104,10 @@
     number: int = -1
     heard_at: int = 0
     rate: float = 0.0  # requests a second
-    sequence: int = 0  # of the plan that was sent last
-    sent: dict[str, Share] = field(default_factory=dict)  # that plan
+    member: tuple[int, int] | None = None  # its ident and life in the forwarders' tier, where it is in one
+    lease: int = LEASE_MOST  # of the plan that was sent last
+    sequence: int = 0  # of that plan
+    sent: dict[str, Share] = field(default_factory=dict)  # what it says
     using: frozenset[str] = frozenset()
 
 
@@ -121,6 +123,8 @@
         self._seed = seed
         self._nodes: dict[str, _Node] = {}
         self._forwarders: dict[str, _Forwarder] = {}  # FORWARDERS_MOST
+        self._members: dict[int, str] = {}  # forwarders by their ident in the tier: likewise
+        self._looked_at = 0  # when the forgotten were last looked for
         self._stepped_at = 0
         self._heard_at = -1  # the newest summary
         self._taken = 0.0  # summaries in hand: a bucket that empties by SUMMARIES_A_SECOND
@@ -160,6 +164,7 @@
             self.shed += 1
             return None
         forwarder = self._forwarders.setdefault(summary.forwarder, _Forwarder())
+        self._note_lives(now, summary, forwarder)
         if (summary.life, summary.number) == (forwarder.life, forwarder.number):
             return self._plan(now, summary, forwarder)  # told twice: counted once
         self._note(now, summary, forwarder)
@@ -172,16 +177,40 @@
         if self._taken >= SUMMARIES_A_SECOND / 2:
             return False
         self._taken += 1.0
-        if summary.forwarder in self._forwarders or len(self._forwarders) < FORWARDERS_MOST:
-            return True
-        self._forget(now)
-        return len(self._forwarders) < FORWARDERS_MOST
+        if now >= self._looked_at + FORGOTTEN // 10:
+            self._forget(now)
+        return summary.forwarder in self._forwarders or len(self._forwarders) < FORWARDERS_MOST
 
     def _forget(self, now: int) -> None:
+        self._looked_at = now
         for name in [n for n, each in self._forwarders.items() if each.heard_at + FORGOTTEN < now]:
-            del self._forwarders[name]
-            for node in self._nodes.values():
-                node.ejected_by.discard(name)
+            self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        """Its requests are no longer counted on, its part is the others', and its word on nodes no longer holds."""
+        member = self._forwarders.pop(name).member
+        if member is not None and self._members.get(member[0]) == name:
+            del self._members[member[0]]
+        for node in self._nodes.values():
+            node.ejected_by.discard(name)
+
+    def _note_lives(self, now: int, summary: Summary, forwarder: _Forwarder) -> None:
+        """Drop those that the tier knows to be gone, once no plan of theirs can hold any more.
+
+        One that lives and reaches this planner is never dropped: its own word is newer than its lease.
+        """
+        lives = summary.lives
+        if lives is None:
+            return
+        forwarder.member = lives.own
+        self._members[lives.own[0]] = summary.forwarder
+        for ident, life in lives.gone:
+            name = self._members.get(ident)
+            known = self._forwarders.get(name) if name is not None else None
+            if name is None or known is None or known.member is None or known.member[1] > life:
+                continue  # of a former life
+            if known.heard_at + known.lease < now:
+                self._drop(name)
 
     def _note(self, now: int, summary: Summary, forwarder: _Forwarder) -> None:
         if summary.life != forwarder.life:
@@ -297,7 +326,7 @@
         # Beyond what the forwarder follows, whoever sent that under this epoch: an earlier life of this planner.
         forwarder.sequence = max(forwarder.sequence, summary.sequence if not whole else -1) + 1
         forwarder.sent = shares
-        lease = max(LEASE_LEAST, min(int(LEASES * self.period()), LEASE_MOST))
+        forwarder.lease = lease = max(LEASE_LEAST, min(int(LEASES * self.period()), LEASE_MOST))
         return Plan(
             summary.forwarder,
             summary.life,
--- a/topazbank/planning/wire.py
+++ b/topazbank/planning/wire.py
@@ -14,6 +14,7 @@
 
 from topazbank.planning.plan import SHARES_MOST, Plan, Share
 from topazbank.planning.summary import BUCKETS, NODES_MOST, NodeUse, Sketch, Summary
+from topazbank.tier.member import GONE_TOLD, Lives
 
 VERSION = 1
 DOCUMENT_MOST = 64 * 1024  # bytes: 256 shares or 64 nodes with names of 200 characters
@@ -32,7 +33,8 @@
     return sealed
 
 
-def _opened(data: object, fields: int) -> list[Any]:
+def _opened(data: object, fields: int, more: int = 0) -> list[Any]:
+    """The body of a document of so many fields; up to `more` further ones are None where they are left out."""
     if not isinstance(data, bytes) or len(data) > DOCUMENT_MOST:
         raise BadDocument(f"{DOCUMENT_MOST} bytes at most are wanted")
     try:
@@ -46,9 +48,9 @@
         raise
     except Exception as bad:  # msgpack raises what its parts do
         raise BadDocument(f"a document is wanted: {bad!r:.80}") from None
-    if not isinstance(body, list) or len(body) != fields:
+    if not isinstance(body, list) or not fields <= len(body) <= fields + more:
         raise BadDocument(f"{fields} fields are wanted")
-    return body
+    return body + [None] * (fields + more - len(body))
 
 
 def encode_plan(plan: Plan) -> bytes:
@@ -115,6 +117,7 @@
         ]
         for name, use in summary.nodes.items()
     }
+    lives = summary.lives
     return _sealed(
         [
             summary.forwarder,
@@ -128,13 +131,15 @@
             {kind: list(counts) for kind, counts in summary.classes.items()},
             nodes,
             [list(each) for each in summary.times.counts.items()],
+            # Left out by who is in no tier: planners from before it read such summaries as ever.
+            *([[lives.own, *lives.gone]] if lives is not None else []),
         ]
     )
 
 
 def decode_summary(data: object) -> Summary:
-    body = _opened(data, 11)
-    forwarder, life, number, period, epoch, planner, sequence, age, classes, nodes, times = body
+    body = _opened(data, 11, more=1)
+    forwarder, life, number, period, epoch, planner, sequence, age, classes, nodes, times, lives = body
     if not isinstance(classes, dict) or len(classes) > _CLASSES_MOST:
         raise BadDocument(f"classes: a map of {_CLASSES_MOST} at most is wanted")
     if not isinstance(nodes, dict) or len(nodes) > NODES_MOST:
@@ -153,9 +158,21 @@
         {_text(kind, "class"): _counts(each) for kind, each in classes.items()},
         {_text(name, "node"): _use(each) for name, each in nodes.items()},
         Sketch(dict(map(_bucket, times))),
+        None if lives is None else _lives(lives),
     )
 
 
+def _lives(given: object) -> Lives:
+    if not isinstance(given, list) or not 1 <= len(given) <= 1 + GONE_TOLD:
+        raise BadDocument(f"tier: itself and {GONE_TOLD} others at most are wanted")
+    pairs = []
+    for each in given:
+        if not isinstance(each, list) or len(each) != 2:
+            raise BadDocument("tier: pairs of an ident and a life are wanted")
+        pairs.append((_whole(each[0], "ident"), _whole(each[1], "life")))
+    return Lives(pairs[0], tuple(pairs[1:]))
+
+
 def _counts(given: object) -> tuple[int, int, int]:
     if not isinstance(given, list) or len(given) != 3:
         raise BadDocument("classes: three counts are wanted")
--- a/topazbank/tier/detector.py
+++ b/topazbank/tier/detector.py
@@ -193,11 +193,11 @@
 
     def base(self, now: int) -> int:
         """Members that were here of late and did not say that they leave: what the here are held against."""
-        lost = sum(
-            1
-            for ident, since in self.table.gone.items()
-            if now - since < BASE_SPAN_US and self.table.records[ident].state is State.GONE
-        )
+        lost = 0
+        for ident, since in reversed(self.table.gone.items()):  # the latest first: the others don't count
+            if now - since >= BASE_SPAN_US:
+                break
+            lost += self.table.records[ident].state is State.GONE
         return self.size + lost
 
     def hears_nobody(self, now: int) -> bool:
--- a/topazbank/tier/member.py
+++ b/topazbank/tier/member.py
@@ -15,6 +15,7 @@
 
 IDENT_BYTES = 6  # of a name's hash: two of 5,000 names share theirs once in 20 million tiers
 INCARNATION_MOST = 0xFFFF  # then a new life begins
+GONE_TOLD = 16  # that are told of as gone where they matter to others than the tier
 LIFE_MOST = 0xFFFFFFFFFFFF
 
 
@@ -55,6 +56,14 @@
         return self.state in (State.HERE, State.SUSPECTED)
 
 
+@dataclass(frozen=True, slots=True)
+class Lives:
+    """What a member knows of lives: its own, and whose it knows to be over, each by ident and life."""
+
+    own: tuple[int, int]
+    gone: tuple[tuple[int, int], ...] = ()  # GONE_TOLD, the latest first
+
+
 def ident_of(name: str) -> int:
     """The 48 bits that stand for a name."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=IDENT_BYTES).digest(), "big")
--- a/topazbank/tier/service.py
+++ b/topazbank/tier/service.py
@@ -15,9 +15,9 @@
 from topazbank.operator import Tiering
 from topazbank.sight.others import Others
 from topazbank.tier.detector import Before, Change, Detector, Out
-from topazbank.tier.member import Record, State, ident_of
+from topazbank.tier.member import GONE_TOLD, Lives, Record, State, ident_of
 from topazbank.tier.rules import Rules
-from topazbank.tier.view import View
+from topazbank.tier.view import Answer, View
 from topazbank.tier.wire import BadMessage, decode, encode
 
 log = logging.getLogger(__name__)
@@ -211,6 +211,17 @@
             "records": records,
         }
 
+    def lives(self) -> Lives:
+        """For planners: this one, and the latest of whom it can tell that they are gone."""
+        detector, now = self.detector, self._clock()
+        gone: list[tuple[int, int]] = []
+        for ident in reversed(detector.table.gone):
+            if len(gone) == GONE_TOLD:
+                break
+            if self.view.of(now, ident) is Answer.NOT_HERE:
+                gone.append((ident, detector.table.records[ident].life))
+        return Lives((detector.me, detector.life), tuple(gone))
+
     def show(self) -> dict[str, Any]:
         """For operators."""
         now = self._clock()
