Rig of the tier: broken upgrades, TCP faults and drains; clients of both protocols

Needed: upgrades whose old or new process is killed or stopped midway, faults on TCP to nodes and the registry, drains judged with sidecars cut from one another, and clients of both protocols; the rig had none of these. Three scenes more: upgrades_broken, nodes_cut, registry_silent. Every connection to a node or the registry passes the proxy that stands.

Seen on the way, both the rig's: a request that the proxy held reached its node after its final answer, so answers alone are held now; and a node that was ready again counted as told 0.3 s late.

--- a/standins/fleet/calling.py
+++ b/standins/fleet/calling.py
@@ -10,9 +10,9 @@
 from dataclasses import replace
 from typing import Any
 
-from standins.clients import HttpCaller, Wish
+from standins.clients import Caller, Wish, caller
 from standins.fleet.judge import Called, Word
-from standins.wire import Address
+from standins.wire import HTTP, Address
 from topazbank.core.driver import Config, Wiring
 from topazbank.core.members import Told
 from topazbank.interface import ServerState
@@ -29,12 +29,13 @@
 class Clients:
     """The clients of some sidecars; every call and what came of it is noted."""
 
-    def __init__(self, chance: random.Random, prefix: str = "c") -> None:
-        """`prefix`: of the calls' ids, so that several processes' do not meet."""
+    def __init__(self, chance: random.Random, prefix: str = "c", protocols: Sequence[str] = (HTTP,)) -> None:
+        """`prefix`: of the calls' ids, so that several processes' do not meet; `protocols`: spoken by turns."""
+        self._protocols = protocols
         self.calls: list[Called] = []
         self._random = chance
         self._prefix = prefix
-        self._callers: dict[int, list[HttpCaller]] = defaultdict(list)  # at rest, CLIENT_CONNECTIONS each
+        self._callers: dict[int, list[Caller]] = defaultdict(list)  # at rest, CLIENT_CONNECTIONS each
         self._out: set[asyncio.Task[None]] = set()
 
     async def load(
@@ -70,19 +71,19 @@
 
     async def _call(self, number: int, address: Address, called: Called, wish: Wish) -> None:
         callers = self._callers[number]
-        caller = callers.pop() if callers else HttpCaller(address)
-        got = await caller.call(wish)
+        one = callers.pop() if callers else caller(self._random.choice(self._protocols), address)
+        got = await one.call(wish)
         called.verdict, called.body, called.answered_at = got.verdict, got.body, now()
         callers = self._callers[number]
         if len(callers) < CLIENT_CONNECTIONS:
-            callers.append(caller)
+            callers.insert(self._random.randint(0, len(callers)), one)  # protocols stay mixed
         else:
-            caller.close()
+            one.close()
 
     def leave(self, number: int) -> None:
         """Close the connections to a sidecar that are at rest."""
-        for caller in self._callers.pop(number, []):
-            caller.close()
+        for each in self._callers.pop(number, []):
+            each.close()
 
     def stop(self) -> None:
         for task in self._out:
--- a/standins/tier/played.py
+++ b/standins/tier/played.py
@@ -218,7 +218,7 @@
             self.faults.cuts |= {(a, b) for a in step.who for b in step.to}
         elif step.do == "heal":
             self.faults.cuts.clear()
-        else:
+        else:  # TCP's faults and drains are of what is not played: nobody is named by them
             for number in step.who:
                 self._do_to(number, step)
 
@@ -237,8 +237,11 @@
         elif step.do == "leave":
             self._send(process, process.detector.leave(self.us()))
             self.kill(number)
-        elif step.do == "upgrade":
+        elif step.do in ("upgrade", "old_dies"):
             self._upgrade(process)
+        elif step.do == "new_dies":
+            self._upgrade(process)
+            self.at(self.now + step.value, lambda: self._resume(process))
         elif step.do == "busy":
             process.late_s = 0.3
             self.at(self.now + step.value, lambda: setattr(process, "late_s", 0.0))
@@ -252,6 +255,13 @@
         self.lives[process.number] = follower
         self._arm(follower, self.now)
 
+    def _resume(self, process: Life) -> None:
+        """The process that took its place has ended."""
+        self.lives[process.number] = process
+        process.detector.resume(self.us())
+        process.alarm = -1.0
+        self._arm(process, self.now)
+
     def look(self) -> None:
         for number, process in self.lives.items():
             if process.stopped_until > self.now:
--- a/standins/tier/rig.py
+++ b/standins/tier/rig.py
@@ -18,14 +18,15 @@
 from typing import Any
 
 from standins.fleet.calling import Clients
-from standins.fleet.judge import Reached, Verdicts
+from standins.fleet.judge import Reached, Verdicts, Word
 from standins.fleet.judge import judge as judge_rules
+from standins.fleet.proxy import Proxy
 from standins.lodge import Lodge, LodgeServer, Memory, RunLog
 from standins.ports import free, own_host
 from standins.registry import Registry
 from standins.tier.judge import Done, Found, Looked, Noted, judge
 from standins.tier.relay import Relay
-from standins.tier.scenes import PAUSE_BORNE_S, Script, Step
+from standins.tier.scenes import NODES, PAUSE_BORNE_S, REGISTRY, Script, Step
 from standins.wire import HTTP, MSGPACK_RPC, Address, Asked, place
 from topazbank.tier.__main__ import ask_tier
 
@@ -35,7 +36,8 @@
 START_S = 60.0  # for a process to come up, on a machine that is busy
 LOOK_S = 0.25  # between two accounts of each process's view
 WORK_S = {"check": 0.004, "amend": 0.006, "lodge": 0.010}
-NODES = 4
+HUNG_S = 2.0  # that a process stands still which came to take over
+TOLD_S = 0.3  # from a node's drain until all are counted as told of it
 OPERATOR = """
 [msgpack_rpc]
 clients = true
@@ -53,7 +55,9 @@
 
 def _interrupts(step: Step) -> bool:
     """Whether calls under way may rightly be lost by it: a pause shorter than their time loses none."""
-    return step.do in ("kill", "leave") or (step.do == "stop" and step.value > PAUSE_BORNE_S)
+    return step.do in ("kill", "leave", "old_dies", "new_dies", "new_hangs") or (
+        step.do == "stop" and step.value > PAUSE_BORNE_S
+    )
 
 
 class Noting(Lodge):
@@ -100,6 +104,8 @@
         self.relay = Relay([each.hears for each in self.members], seed)
         self.registry = Registry()
         self.nodes: list[LodgeServer] = []
+        self.ways: dict[int, Proxy] = {}  # to nodes by number, and to REGISTRY
+        self._words: list[Word] = []  # of nodes that drain
         self.log = RunLog()
         self._reached: list[Reached] = []
         self.done: list[Done] = []
@@ -108,7 +114,7 @@
         self.lives: dict[int, int] = {}
         self._began = now()
         self._tasks: set[asyncio.Task[None]] = set()
-        self.clients = Clients(random.Random(seed))
+        self.clients = Clients(random.Random(seed), protocols=(HTTP, MSGPACK_RPC))
         self._burners: list[asyncio.subprocess.Process] = []
 
     # -- Life ------------------------------------------------------------------------------------------
@@ -117,6 +123,7 @@
         """Start all, and wait until each serves and sees all others."""
         await self.relay.start()
         await self.registry.start()
+        await self._way(REGISTRY, self.registry.address)
         memories = [Memory(), Memory()]
         for number in range(NODES):
             pod = number % 2
@@ -127,7 +134,8 @@
             server = LodgeServer(lodge, (HTTP, MSGPACK_RPC)[pod], pod + 1)
             await server.start()
             self.nodes.append(server)
-            self.registry.put(server.entry())
+            await self._way(number, server.address)
+            self.registry.put(self._entry(number))
         (Path(self._folder.name) / "operator.toml").write_text(
             OPERATOR.format(on="true" if self.on else "false")
         )
@@ -135,6 +143,14 @@
         if self.on and not await self.until_equal(START_S):
             raise RuntimeError(f"not all see one another: {self.looks[-self.count :]}")
 
+    async def _way(self, to: int, address: Address) -> None:
+        """A proxy before it, which TCP's faults are done to."""
+        self.ways[to] = Proxy(address)
+        await self.ways[to].start()
+
+    def _entry(self, node: int) -> dict[str, Any]:
+        return self.nodes[node].entry(address=place(self.ways[node].address))
+
     async def stop(self) -> None:
         for task in list(self._tasks):
             task.cancel()
@@ -148,6 +164,8 @@
                     member.process.kill()
                 await member.process.wait()
         self.relay.stop()
+        for way in self.ways.values():
+            way.stop()
         self.registry.stop()
         for node in self.nodes:
             node.die()
@@ -159,7 +177,7 @@
         given = json.loads(EXAMPLE.read_text(encoding="utf-8"))
         given["settings"] |= {"groupSize": self.count, "me": member.number}
         given["settings"]["bounds"] |= {"mayTell": True}
-        given |= {"listen": place(member.listen), "discovery": place(self.registry.address)}
+        given |= {"listen": place(member.listen), "discovery": place(self.ways[REGISTRY].address)}
         given |= {"peer_listen": place(member.hears), "peers": peers, "seed": f"{member.number + 1:016x}"}
         path = member.folder / "relay.json"
         path.write_text(json.dumps(given), encoding="utf-8")
@@ -282,6 +300,12 @@
             self.relay.cuts |= {(a, b) for a in step.who for b in step.to}
         elif step.do == "heal":
             self.relay.cuts.clear()
+        elif step.do.startswith("tcp_"):
+            for each in step.to:
+                self._tcp(self.ways[each], step.do)
+        elif step.do in ("drain", "undrain"):
+            for each in step.to:
+                self._drain(each, step.do == "drain")
         elif step.do == "busy":
             self._later(self._burn(step.value))
         elif step.do in ("stop", "kill"):
@@ -333,22 +357,52 @@
             self.clients.leave(member.number)
             process.send_signal(signal.SIGTERM)
             await process.wait()
-        elif step.do == "upgrade" and member.process is not None:
-            await self._upgrade(member)
+        elif member.process is not None and not member.busy:
+            member.busy = True
+            try:
+                await self._upgrade(member, step)
+            finally:
+                member.busy = False
 
-    async def _upgrade(self, member: Member) -> None:
-        """A second process beside the first; then the first ends."""
+    async def _upgrade(self, member: Member, step: Step) -> None:
+        """A second process beside the first; then the first ends, or what the step says."""
         old = member.process
         assert old is not None
-        member.busy = True
-        try:
-            new = await self._spawn(member)
-            await self._until_up(member, new)
-            old.send_signal(signal.SIGTERM)
+        new = await self._spawn(member)
+        if step.do != "upgrade":
+            await asyncio.sleep(step.value)
+        if step.do in ("upgrade", "old_dies"):
             member.process = new
+            if step.do == "old_dies":
+                old.kill()
+                self.clients.leave(member.number)
+            await self._until_up(member, new)
+            if step.do == "upgrade":
+                old.send_signal(signal.SIGTERM)
             await old.wait()
-        finally:
-            member.busy = False
+            return
+        if step.do == "new_hangs":
+            new.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(HUNG_S)
+        new.kill()
+        await new.wait()
+        await self._until_up(member, old)
+
+    @staticmethod
+    def _tcp(way: Proxy, do: str) -> None:
+        if do == "tcp_cut":
+            way.cut()
+        elif do == "tcp_hold":
+            way.hold(forth=False)  # a request held on its way would reach its node after its final answer
+        else:
+            way.heal()
+
+    def _drain(self, node: int, drains: bool) -> None:
+        self.nodes[node].lodge.draining = drains
+        self.registry.put(self._entry(node))
+        name = self.nodes[node].lodge.name
+        at = now() + (TOLD_S if drains else 0.0)
+        self._words += [Word(at, each, name, not drains) for each in range(self.count)]
 
     async def _burn(self, seconds: float) -> None:
         """Keep every core busy beside the processes."""
@@ -388,7 +442,7 @@
         ended_script = replace(script, faults_end_s=ended)
         found = judge(ended_script, self.done, noted, self.looks, self.lives) if self.on else Found()
         lives = {each: [(0.0, now())] for each in range(self.count)}
-        verdicts = judge_rules(self.clients.calls, self._reached, self.log.runs, [], lives, [])
+        verdicts = judge_rules(self.clients.calls, self._reached, self.log.runs, self._words, lives, [])
         await self._restore()
         return found, verdicts
 
@@ -400,6 +454,7 @@
         self.looks.clear()
         self.log.runs.clear()
         self._reached.clear()
+        self._words.clear()
         self.clients.calls.clear()
 
     async def _watch(self) -> None:
@@ -410,6 +465,8 @@
     async def _restore(self) -> None:
         self.relay.cuts.clear()
         self.relay.loss = self.relay.delay_s = self.relay.doubled = 0.0
+        for way in self.ways.values():
+            way.heal()
         missing = [each for each in self.members if each.process is None]
         await asyncio.gather(*(self._launch(each) for each in missing))
         if missing and self.on:
--- a/standins/tier/scenes.py
+++ b/standins/tier/scenes.py
@@ -11,11 +11,17 @@
 from dataclasses import dataclass, field
 
 PAUSE_BORNE_S = 1.0  # by the rules' default
+REGISTRY = -1  # in `to` of TCP's faults
+NODES = 4
 
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """`do`: kill, start, stop or busy (for `value` s), leave, upgrade, cut, heal, loss, delay, doubled."""
+    """`do`: kill, start, stop or busy (for `value` s), leave, upgrade, cut, heal, loss, delay, doubled.
+
+    Of an upgrade, `value` s after the new process was begun: old_dies, new_dies, new_hangs (for 2 s, then killed).
+    Of TCP, `to` nodes by number or REGISTRY: tcp_hold (what they answer), tcp_cut, tcp_heal; of nodes: drain, undrain.
+    """
 
     at: float
     do: str
@@ -238,3 +244,45 @@
 def busy(n: int, chance: random.Random, pace: float) -> Script:
     """The whole machine is so busy that everyone is late: nobody goes for that."""
     return Script([Step(1.0, "busy", tuple(range(n)), value=4.0 * pace)], 1.0 + 4.0 * pace)
+
+
+@_scene
+def upgrades_broken(n: int, chance: random.Random, pace: float) -> Script:
+    """Upgrades of which the old or the new process is killed, or the new one stopped, at whatever moment."""
+    ways = ("old_dies", "new_dies", "new_hangs", "new_dies", "old_dies")
+    steps, at = [], 1.0
+    for way in ways[: max(int(len(ways) * pace), 3)]:
+        steps.append(Step(at, way, _some(chance, n, 1), value=chance.uniform(0.0, 0.8)))
+        at += 4.0
+    # Who hangs as it takes over stands still for longer than is borne.
+    return Script(steps, at, {who for each in steps if each.do == "new_hangs" for who in each.who})
+
+
+@_scene
+def nodes_cut(n: int, chance: random.Random, pace: float) -> Script:
+    """TCP to one node breaks and to another stands still, one drains, while two sidecars are cut one way."""
+    a, b = chance.sample(range(n), 2)
+    cut, held, drained = chance.sample(range(NODES), 3)
+    steps = [
+        Step(1.0, "cut", (a,), (b,)),
+        Step(1.0, "tcp_cut", (), (cut,)),
+        Step(1.5, "tcp_hold", (), (held,)),
+        Step(2.0, "drain", (), (drained,)),
+        Step(3.0 + 2.0 * pace, "tcp_heal", (), (cut, held)),
+        Step(3.5 + 2.0 * pace, "undrain", (), (drained,)),
+        Step(4.0 + 4.0 * pace, "heal"),
+    ]
+    return Script(steps, 4.0 + 4.0 * pace)
+
+
+@_scene
+def registry_silent(n: int, chance: random.Random, pace: float) -> Script:
+    """The registry stands still while one sidecar is killed and started, and all go on by the list that they have."""
+    (one,) = _some(chance, n, 1)
+    steps = [
+        Step(1.0, "tcp_hold", (), (REGISTRY,)),
+        Step(1.5, "kill", (one,)),
+        Step(2.0, "start", (one,)),
+        Step(2.0 + 4.0 * pace, "tcp_heal", (), (REGISTRY,)),
+    ]
+    return Script(steps, 2.0 + 4.0 * pace, {one})
--- a/tests/tier/test_processes.py
+++ b/tests/tier/test_processes.py
@@ -17,7 +17,8 @@
     "pauses": ("pauses", "long_stop", "stopped_together", "stopped_each_second"),
     "one-sided cuts": ("one_way_pair", "one_hears_nobody", "one_is_unheard", "ring", "half_hears_not"),
     "splits and losses": ("pair_both_ways", "split", "split_single", "lossy", "very_lossy"),
-    "calm and upgrades": ("calm", "upgrades"),
+    "upgrades": ("calm", "upgrades", "upgrades_broken"),
+    "nodes and registry": ("nodes_cut", "registry_silent"),
 }
 
 
