Tests of a member's datagrams, clock and name, of show, and of each bad [tier] setting

Needed: floods, replays, strangers, a key, a name taken by two, a machine's clock that was set back an hour between two lives, what show prints, and [tier]'s errors with exit 2 had no tests. Services now run on a network of the test's own, with the wall clock as an argument.

They found one defect: who has a name of its own and is not among peers took itself for number 0 there, and so never asked the first of the peers; with one peer it never joined.

--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
+import os
+import subprocess
+import sys
 import tomllib
+from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
+from helpers import settings
 
-from topazbank.core.members import Dialects, Listed
+from topazbank.config import check_tier
+from topazbank.core.driver import Config
+from topazbank.core.members import Dialects, Listed, Told
 from topazbank.core.nodes import HTTP, MSGPACK_RPC
+from topazbank.core.peers import Tier
 from topazbank.interface import ListedServer
 from topazbank.operator import Operator, operator_from, read_operator
 
@@ -46,6 +55,14 @@
         ("[membership.zookeeper]\npath = '/a//b'", "membership.zookeeper.path: a path such as"),
         ("[membership.zookeeper]\nsession_timeout_s = 0", "session_timeout_s: a number from 0.5 to 120"),
         ("[admin]\nroster = 'yes'", "admin.roster: true or false is wanted"),
+        ("tier = 1", "tier: a table is wanted"),
+        ("[tier]\non = 1", "tier.on: true or false is wanted, not 1"),
+        ("[tier]\nperiod = 1", "tier.period: not known; one of on, name, period_ms"),
+        ("[tier]\nperiod_ms = 10", "tier.period_ms: a whole number from 50 to 10000 is wanted, not 10"),
+        ("[tier]\npause_ms = 0.5", "tier.pause_ms: a whole number from 100 to 60000 is wanted, not 0.5"),
+        ("[tier]\nforget_s = 60\npause_ms = 4000", "tier.forget_s: twenty times pause_ms at least"),
+        ("[tier]\ndatagram = 1500", "tier.datagram: a whole number from 256 to 1200 is wanted"),
+        ("[tier]\nname = 7", "tier.name: a text of 200 characters at most is wanted"),
     ],
 )
 def test_a_bad_file_is_named_with_its_field(text: str, complaint: str, tmp_path: Path) -> None:
@@ -56,6 +73,48 @@
     assert complaint in str(bad.value) and str(bad.value).startswith(str(path))
 
 
+def test_the_tier_s_key_is_in_no_complaint_and_in_no_picture_of_the_settings() -> None:
+    with pytest.raises(ValueError) as bad:
+        operator_from({"tier": {"key": "hush" * 20}})
+    assert "tier.key: a text of 64 bytes at most" in str(bad.value) and "hush" not in str(bad.value)
+    assert "hush" not in repr(operator_from({"tier": {"key": "hush"}}))
+
+
+@pytest.mark.parametrize(
+    ("changes", "name", "complaint"),
+    [
+        ({"tier": None}, "", "tier.on: the configuration names no peer_listen"),
+        ({"settings": settings()}, "", "tier.on: the settings do not allow messages"),
+        ({"tier": Tier(("127.0.0.1", 9))}, "", "tier.name: wanted where the configuration names no peers"),
+        ({"tier": Tier(("127.0.0.1", 9))}, "desk-7", None),
+    ],
+)
+def test_membership_without_what_it_needs_is_told_at_the_start(
+    changes: dict[str, Any], name: str, complaint: str | None
+) -> None:
+    here = ("127.0.0.1", 9)
+    config = Config(
+        here, here, 7, 256, settings(limits={"may_message": True}), Told(0, True, []), Tier(here, (here,))
+    )
+    given = operator_from({"tier": {"on": True, "name": name}})
+    if complaint is None:
+        check_tier(replace(config, **changes), given)
+        return
+    with pytest.raises(ValueError, match=complaint):
+        check_tier(replace(config, **changes), given)
+
+
+def test_a_bad_tier_ends_the_start_with_one_line_and_code_2(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    for text, complaint in (("on = 'yes'", "tier.on"), ("on = true", "peer_listen")):
+        path.write_text(f"[tier]\n{text}", encoding="utf-8")
+        environ = os.environ | {"RELAY_CONFIG": str(ROOT / "deploy" / "example.json")}
+        command = [sys.executable, "-m", "topazbank", "--operator", str(path)]
+        ended = subprocess.run(command, cwd=ROOT, env=environ, capture_output=True, text=True, timeout=30)
+        assert ended.returncode == 2 and complaint in ended.stderr
+        assert ended.stderr.startswith("bad configuration: ") and ended.stderr.count("\n") == 1
+
+
 def test_an_entry_s_word_goes_before_its_pod_s_and_that_before_the_default() -> None:
     text = "[msgpack_rpc]\nnodes = true\n[nodes.pods]\n7 = 'msgpack-rpc'"
     operator = operator_from(tomllib.loads(text))
--- a/topazbank/tier/service.py
+++ b/topazbank/tier/service.py
@@ -37,8 +37,12 @@
         others: Others,
         known: Mapping[str, Any],
         clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000,
+        wall: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
     ) -> None:
-        """`known`: of the process that this one follows; `clock`: microseconds that only go on."""
+        """`known`: of the process that this one follows; `clock`: microseconds that only go on.
+
+        `wall`: Unix milliseconds by the machine's clock, which may be set back between two lives.
+        """
         assert config.tier is not None
         self._clock = clock
         self._others = others
@@ -57,14 +61,14 @@
                 self._names[ident], self._numbers[ident] = str(each), each
                 if each != number:
                     book[ident] = address
-        seeds = [each for n, each in enumerate(members) if each != listen and n != number]
+        # Who has a name of its own need not be one of `peers`, and then has no number there.
+        seeds = [each for n, each in enumerate(members) if each != listen and (given.name or n != number)]
         rules = Rules(
             given.period_ms * 1000, given.pause_ms * 1000, given.forget_s * 1_000_000, given.datagram
         )
         before = before_from(known)
-        life = time.time_ns() // 1_000_000
         me = ident_of(self.name)
-        self.detector = Detector(me, life, clock(), rules, seeds, book, config.seed & 0xFFFFFFFF, before)
+        self.detector = Detector(me, wall(), clock(), rules, seeds, book, config.seed & 0xFFFFFFFF, before)
         self.view = View(self.detector)
         self._allowed = self.detector.addresses()  # as of when the members last changed
         self._stale = False
