Ephemeral nodes and cuts agreed by observers stand beside the other ways, with plots

Needed: two of the six ways were weighed on paper alone. Both are played now on the same network: sessions with an ensemble that never fails, and Rapid's alerts, watermarks and fast vote.

--- a/benchmarks/tier_ways.py
+++ b/benchmarks/tier_ways.py
@@ -1,15 +1,17 @@
 """Which way of finding out who of a tier is here: what each costs and how often it is wrong, in one run.
 
-    python -m benchmarks.tier_ways [--sizes 8 24 64] [--large 1000 5000] [--seeds 3] [--seconds 120]
+    python -m benchmarks.tier_ways [--sizes 8 24 64] [--large 1000 5000] [--seeds 3] [--seconds 120] [--plot FILE]
 
 For each way and size: from a kill until the first knows and until all know; false "gone" a member-hour under a fifth of
 loss with pauses below 1 s; messages and bytes a member and second in calm.  Ways that send to all are left out of the
-large sizes.  Plain SWIM's expectation for the first is e/(e-1) periods and the wait that follows.
+large sizes.  Plain SWIM's expectation for the first probe of the dead one is e/(e-1) periods from the kill; it fails
+a period later, and the wait follows: the last lines print that beside what was measured.
 """
 
 from __future__ import annotations
 
 import argparse
+import math
 import statistics
 import time
 from collections.abc import Callable, Sequence
@@ -18,7 +20,7 @@
 
 from standins.tier.played import Played
 from standins.tier.scenes import Step
-from standins.tier.ways import Heartbeats, PhiAccrual
+from standins.tier.ways import Ephemeral, Heartbeats, PhiAccrual, Rapid
 from topazbank.core.bounds import tier_messages_a_second
 from topazbank.tier.detector import Detector
 from topazbank.tier.rules import Rules
@@ -28,11 +30,13 @@
 WAYS: dict[str, tuple[Callable[..., Any], Rules]] = {
     "heartbeats": (Heartbeats, Rules()),
     "phi accrual": (PhiAccrual, Rules()),
+    "ephemeral nodes": (Ephemeral, Rules()),
+    "Rapid": (Rapid, Rules()),
     "plain SWIM": (Detector, PLAIN),
     "SWIM, Lifeguard": (Detector, LIFEGUARD),
     "the program's": (Detector, Rules()),
 }
-TO_ALL = ("heartbeats", "phi accrual")
+SMALL_ONLY = ("heartbeats", "phi accrual", "Rapid")  # their plays grow with the square of the size
 HEAD = (
     f"{'way':<17}{'size':>6}{'first s':>9}{'all s':>8}{'false/h':>9}{'msgs/s':>8}{'bytes/s':>9}{'took s':>8}"
 )
@@ -40,6 +44,8 @@
 
 @dataclass(slots=True)
 class Row:
+    way: str
+    size: int
     first_s: list[float]
     all_s: list[float]
     false_hour: float
@@ -92,7 +98,7 @@
     times = [killed(way, size, seed) for seed in range(1, seeds + 1)]
     messages, count = calm(way, size)
     false = false_gone(way, size, 1, seconds) if seconds > 0.0 else float("nan")
-    return Row([each[0] for each in times], [each[1] for each in times], false, messages, count)
+    return Row(way, size, [each[0] for each in times], [each[1] for each in times], false, messages, count)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -101,13 +107,15 @@
     parser.add_argument("--large", type=int, nargs="*", default=[])
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=120.0, help="of played time under loss")
+    parser.add_argument("--plot", metavar="FILE", help="draw what was measured (extra `plots`)")
     given = parser.parse_args(argv)
     print(HEAD, flush=True)
     over = 0
+    rows = []
     for size in [*given.sizes, *given.large]:
         for way in WAYS:
             large = size in given.large
-            if large and way in TO_ALL:
+            if large and way in SMALL_ONLY:
                 continue
             began = time.monotonic()
             row = measure(way, size, 1 if large else given.seeds, 0.0 if large else given.seconds)
@@ -116,13 +124,50 @@
                 f"{row.messages:>8.1f}{row.bytes:>9.0f}{time.monotonic() - began:>8.1f}",
                 flush=True,
             )
+            rows.append(row)
             if way == "the program's":
                 over += row.messages > tier_messages_a_second(WAYS[way][1])
     print(
         f"by core.bounds: {tier_messages_a_second(Rules()):.1f} messages a member and second at most in calm"
     )
+    for row in rows:
+        if row.way == "plain SWIM":
+            expected = first_expected_s(row.size)
+            print(
+                f"first of {row.size}: expected {expected:.2f} s, seen {statistics.mean(row.first_s):.2f} s"
+            )
+    if given.plot:
+        draw(rows, given.plot)
     return 1 if over else 0
 
 
+def first_expected_s(size: int) -> float:
+    """By SWIM's arithmetic (DSN 2002, 3.1), for its rules here."""
+    period = PLAIN.period_us / 1e6
+    return math.e / (math.e - 1.0) * period + period + PLAIN.wait_us(size, 1) / 1e6
+
+
+def draw(rows: Sequence[Row], path: str) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, 3, figsize=(15, 4.5))
+    for way in dict.fromkeys(row.way for row in rows):
+        mine = [row for row in rows if row.way == way]
+        sizes = [row.size for row in mine]
+        axes[0].plot(sizes, [statistics.mean(row.first_s) for row in mine], marker="o", label=way)
+        axes[1].plot(sizes, [max(row.all_s) for row in mine], marker="o", label=way)
+        axes[2].plot(sizes, [row.messages for row in mine], marker="o", label=way)
+    names = ("first knows, mean s", "all know, most s", "messages a member and second, calm")
+    for axis, name in zip(axes, names, strict=True):
+        axis.set(xscale="log", xlabel="members", title=name)
+    axes[2].set(yscale="log")
+    axes[0].legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path, dpi=90)
+
+
 if __name__ == "__main__":
     raise SystemExit(main())
