Budgets of a whole fleet by leases from keepers; off unless set

The decision module takes Spending as an input that can only tighten: attempts after the first, probes for trials, a tenant's requests. Ruled out: probes that settle ties, since without them a first try would wait. [budgets.NAME] in the operator file is checked whole.

--- a/tests/test_any_sequence.py
+++ b/tests/test_any_sequence.py
@@ -147,7 +147,7 @@
             assert server.in_flight == out[name], "the count of requests in flight is off"
             assert 0 <= server.young <= server.in_flight, "the count of those whose aim is not past is off"
         awake = (each for each in self.balancer._servers.values() if each.ejected_until is None)
-        assert self.balancer._load() == sum(each.young for each in awake), "the running count is off"
+        assert self.balancer._young == sum(each.young for each in awake), "the running count is off"
 
     def arrive(self, name: str, remaining_us: int, key: int | None) -> None:
         number, self.next = self.next, self.next + 1
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -302,13 +302,13 @@
     stage = Stage()
     stage.servers(names(8))
     out = [stage.request("pay") for _ in range(6)]
-    assert stage.balancer._load() == 6
+    assert stage.balancer._young == 6
     stage.wait(520 * MS)  # the aim is 500
-    assert stage.balancer._load() == 0
+    assert stage.balancer._young == 0
     assert sum(stage.balancer._busy(each) for each in stage.balancer._servers.values()) == 6
     for each in out:
         stage.end(each)
-    assert stage.balancer._load() == 0
+    assert stage.balancer._young == 0
 
 
 def test_a_quiet_fleet_is_never_refused() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -297,7 +297,7 @@
     stage.play(AttemptEnded(request, 0, taken.name, Outcome.DROPPED, 1, False))
     stage.servers(others)
     assert set(stage.balancer._servers) == set(others) == {s.name for s in stage.balancer._numbered.values()}
-    assert stage.balancer._load() == 0
+    assert stage.balancer._young == 0
 
 
 def test_the_gate_lets_no_second_copy_out_where_only_one_is_allowed() -> None:
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -19,6 +19,9 @@
 from typing import Any
 
 from topazbank.interface import (
+    PROBES,
+    RETRIES,
+    TENANT,
     Action,
     AnswerStarted,
     AttemptEnded,
@@ -48,6 +51,7 @@
     ServiceClass,
     SetTimer,
     Settings,
+    Spending,
     Tell,
     TimerFired,
 )
@@ -242,6 +246,7 @@
         self._settings = settings
         self.others = Others(settings.group_size)  # what is seen of the tier goes in here
         self._guide = guide
+        self.spending: Spending | None = None  # what the whole fleet has left: it can only tighten
         self._random = random.Random(seed)
         self._classes = {each.name: each for each in settings.classes}
         self._traffic = Traffic(settings)
@@ -281,7 +286,7 @@
         self._failed_calls = 0
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
-        self._young = 0  # attempts out whose aim is not past, at servers that are not ejected
+        self._young = 0  # the load: attempts out whose aim is not past, at servers that are not ejected
         self.ejected: list[Server] = []
         self._remote = 1.0  # odds of a server in another zone, as of _remote_at
         self._remote_at = -1
@@ -327,7 +332,7 @@
         self._follow_load()
         self._stall.notice(now, isinstance(event, TimerFired))
         if not self._stall.behind and self._strain.mature(now):
-            self._size_window(self._load())
+            self._size_window(self._young)
         if not self._begun:
             self._begun = True
             spread = asking.first_spread(self.others.most, self._settings.rules.ask_within_us)
@@ -453,6 +458,8 @@
         self._schedule(answer_by, event.request, _WHOLE)
         if self._overloaded_for(request, event.tenant) or self._is_stale(kind, event.remaining_us):
             self._finish(request)
+        elif event.tenant is not None and not self._may_spend(TENANT, event.tenant):
+            self._finish(request)
         elif kind.by_arrival and event.key is not None:
             self._line_up(request, event.key)
         else:
@@ -537,7 +544,7 @@
         (self._in_time if spent <= 1.0 else self._too_late).add(self._now, 1.0)
         if self._strain.floor is None and self._window == math.inf:
             self._sized_from = self._now + int(NEW_AIMS * self._longest_aim)
-        load = self._load()
+        load = self._young
         self._strain.feel(self._now, spent, load <= FREE * self._window)
         self._size_window(load)
 
@@ -554,7 +561,7 @@
         if lapse > 0:
             self._load_at = self._now
             span = self._stretch() * self._longest_aim
-            load = self._load()
+            load = self._young
             self._mean_load = min(self._mean_load, max(load, self._window, 1.0))  # more delays relief
             self._mean_load += (load - self._mean_load) * (1.0 - math.exp(-lapse / span))
 
@@ -603,13 +610,6 @@
             self._able = sum(s.nominal * self._warmth(s) for s in self._ready if s.ejected_until is None)
         return self._able
 
-    def _load(self) -> int:
-        """Own requests in flight whose aim is not past, at servers that are not ejected: a running count.
-
-        What is late already tells of its own server.  Guards against a few stuck attempts that fill a small window.
-        """
-        return self._young
-
     def _age(self, attempt: Attempt) -> None:
         """An attempt has ended, or its aim is past: it counts no more for what all servers hold."""
         if attempt.young:
@@ -620,7 +620,7 @@
     def _fill(self) -> float:
         """How much of the window is taken; where it holds few, the mean counts, as two at once are chance."""
         certain = min(self._window / MANY, 1.0)
-        return (self._mean_load + certain * (self._load() - self._mean_load)) / self._window
+        return (self._mean_load + certain * (self._young - self._mean_load)) / self._window
 
     def _overloaded_for(self, request: Request, tenant: str | None) -> bool:
         """Whether to refuse a new request: likelier under more pressure, and for less worth.
@@ -632,7 +632,7 @@
         if self._probes > 1:
             request.standing = self._traffic.standing(self._now, mine)
             return False  # probes will tell
-        if max(self._arrivals.per_us(self._now) * self._longest_aim, self._load()) < MANY / 2:
+        if max(self._arrivals.per_us(self._now) * self._longest_aim, self._young) < MANY / 2:
             return self._sheds_by_count(self._traffic.standing(self._now, mine))
         fill = self._fill()
         if fill <= FREE:
@@ -652,7 +652,7 @@
         in_time = self._in_time.per_us(self._now) * span + SPARSE_PRIOR
         missed = (self._too_late.per_us(self._now) + self._shed.per_us(self._now)) * span
         # What is out tells of a surge before any of it is late; by itself it may be a burst and no more.
-        short = 1.0 - SPARSE_ROOM * in_time / (in_time + missed + min(missed, 1.0) * self._load())
+        short = 1.0 - SPARSE_ROOM * in_time / (in_time + missed + min(missed, 1.0) * self._young)
         if short > 0.0 and self._random.random() < 2.0 * short * (1.0 - standing):
             self._shed.add(self._now, 1.0)
             return True
@@ -765,11 +765,8 @@
         """
         near = 1.0 if server.zone == self._settings.zone else self._remote
         pace = math.pow(max(server.pace, 1.0 / PACE_CLIP), power)
-        return (
-            near / pace
-            if server.cold_since is None
-            else near * min(COLD_ODDS * self._warmth(server), 1.0) / pace
-        )
+        warmth = 1.0 if server.cold_since is None else min(COLD_ODDS * self._warmth(server), 1.0)
+        return near * warmth / pace
 
     def _weigh_zones(self) -> float:
         """Odds of servers in other zones: less while the own zone is as quick as theirs.
@@ -777,11 +774,8 @@
         Spares crossings without the trap of a zone that has more traffic than servers: as the own zone's pace
         falls behind, or answers come late anywhere, the odds even out.
         """
-        if (
-            self._settings.prices.cross_zone <= 0.0
-            or self._strain.late >= LATE_ALLOWED
-            or self._fill() > FREE
-        ):
+        crowded = self._strain.late >= LATE_ALLOWED or self._fill() > FREE
+        if self._settings.prices.cross_zone <= 0.0 or crowded:
             return 1.0  # room anywhere is worth more than a crossing
         awake = [each for each in self._ready if each.ejected_until is None]
         near = [each.pace for each in awake if each.zone == self._settings.zone]
@@ -940,6 +934,8 @@
             return False  # rule 3: at once on hearing, without use of the grace
         if not self._cold_room(server, request.cost):
             return False  # rule 4
+        if request.attempts and not self._may_spend(RETRIES):
+            return False  # the fleet's budget
         if self._is_cold(server):
             server.allowance -= request.cost
         verdict = self._strain.sent(self._now, request.kind.aim_us, self._chance())
@@ -959,6 +955,9 @@
         self._actions.append(Send(request.ident, server.name, request.answer_by))
         return True
 
+    def _may_spend(self, what: str, tenant: str | None = None) -> bool:
+        return self.spending is None or self.spending.may(what, tenant, self._now)
+
     def _may_run_again(self, request: Request) -> bool:
         """Whether the request's class lets another attempt out now."""
         first_maybe = next((each for each in request.attempts if each.may_have_run), None)
@@ -1220,7 +1219,7 @@
         fit = [s for s in due if s.state is ServerState.READY and self._cold_room(s, request.cost)]
         if self._settings.limits.may_probe and not self._tries_safely:
             lost = [each for each in fit if each.unreached]
-            if lost and lost[0].probed_at is None:
+            if lost and lost[0].probed_at is None and self._may_spend(PROBES):
                 self._probe(lost[0])  # its answer brings the server back
             fit = [each for each in fit if not each.unreached]
         repeat = Repeat.SAFE if self._tries_safely else Repeat.KEYED
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -55,6 +55,7 @@
     ServerState,
     SetTimer,
     Settings,
+    Spending,
     Tell,
     TimerFired,
 )
@@ -83,6 +84,11 @@
         self._monotonic_ns = monotonic_ns
         self._offset_us = time.time_ns() // 1000 - monotonic_ns() // 1000
 
+    @property
+    def offset_us(self) -> int:
+        """How far it is beyond the monotonic clock."""
+        return self._offset_us
+
     def now(self) -> int:
         return self._monotonic_ns() // 1000 + self._offset_us
 
@@ -162,6 +168,8 @@
 
     def lives(self) -> Lives: ...
 
+    def spending(self, offset_us: int) -> Spending | None: ...
+
     def show(self) -> dict[str, Any]: ...
 
     def handed(self) -> dict[str, Any]: ...
@@ -228,6 +236,7 @@
             if wiring.tier_part is not None:
                 self._tier_part = wiring.tier_part(config, self._balancer.others, tier or {})
                 member = self._tier_part.datagram
+                self._balancer.spending = self._tier_part.spending(self._clock.offset_us)
             self._peers = Peers(config.tier, self._message, peers, member)
         roster = self._show_roster if wiring.show_roster else None
         self.drain = Drain(max(each.deadline_us for each in settings.classes) / 1e6)
--- a/topazbank/core/trace.py
+++ b/topazbank/core/trace.py
@@ -59,7 +59,7 @@
     strain = balancer._strain
     found = {
         "window": balancer._window if balancer._window < 1e9 else None,
-        "load": balancer._load(),
+        "load": balancer._young,
         "mean": balancer._mean_load,
         "over": strain._over.share,
         "hopeless": strain._hopeless.share,
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -476,6 +476,16 @@
         """The part of the balancer's own cold budget for a server that may be used: at most 1."""
 
 
+RETRIES, PROBES, TENANT = "retries", "probes", "tenant"  # what budgets of a whole fleet may be of
+
+
+class Spending(Protocol):
+    """This process's part in budgets of the whole fleet.  It can only tighten: what it refuses is not done."""
+
+    def may(self, what: str, tenant: str | None, now: int) -> bool:
+        """Take one unit, if there is one: an attempt after a request's first, a probe, or a tenant's request."""
+
+
 Event = (
     ServersListed
     | RequestArrived
--- a/topazbank/operator.py
+++ b/topazbank/operator.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from topazbank.budget.rules import RATE, THOUSANDTHS, Budget
 from topazbank.core.net import Address, parse_address
 from topazbank.core.nodes import HTTP, MSGPACK_RPC, PROTOCOLS
+from topazbank.interface import PROBES, RETRIES, TENANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +31,11 @@
 TRACE_LINES_MOST = 100_000  # a second
 TIER_DATAGRAM_LEAST, TIER_DATAGRAM_MOST = 256, 1200  # bytes: the platform's bound, and what passes everywhere
 TIER_KEY_MOST = 64  # bytes
+BUDGETS_MOST = 64
+AMOUNT_MOST = 10**9
+BUDGET_FIELDS = (
+    "kind", "of", "tenant", "whole", "burst", "floor", "members", "keepers", "lease_s", "silence_s", "drift_percent",
+)  # fmt: skip
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +90,15 @@
     )  # shared by all; with it also those may join whom `peers` don't name
 
 
+@dataclass(frozen=True, slots=True)
+class Budgeted:
+    """One budget of the whole fleet, and what it is of: docs/operators/budgets.md."""
+
+    budget: Budget
+    of: str
+    tenant: str | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """All that the operator file sets."""
@@ -93,6 +109,8 @@
     membership: Membership = field(default_factory=Membership)
     planning: Planning = field(default_factory=Planning)
     tier: Tiering = field(default_factory=Tiering)
+    budgets: tuple[Budgeted, ...] = ()  # BUDGETS_MOST
+    ledger: str = ""  # a folder: what came of the budgets is written there
     trace_lines: int = 0  # a second, beside the log: what was decided, event by event; 0: none
     show_roster: bool = False  # GET /admin/roster on the one listener
 
@@ -110,8 +128,9 @@
 
 def operator_from(given: Mapping[str, Any]) -> Operator:
     """Check what the file holds; a name that is not known is an error, since it would set nothing."""
-    top = _Table("", given, ("msgpack_rpc", "nodes", "membership", "planning", "tier", "admin", "trace"))
-    admin = top.table("admin", ("roster",))
+    known = ("msgpack_rpc", "nodes", "membership", "planning", "tier", "budgets", "admin", "trace")
+    top = _Table("", given, known)
+    admin = top.table("admin", ("roster", "budgets_ledger"))
     trace = top.table("trace", ("lines_per_second",))
     rpc = top.table("msgpack_rpc", MsgpackRpc.__dataclass_fields__)
     nodes = top.table("nodes", ("protocol", "pods"))
@@ -130,9 +149,13 @@
         _membership(top),
         _planning(top),
         _tier(top),
+        _budgets(given.get("budgets", {})),
+        admin.text("budgets_ledger", ""),
         trace.whole("lines_per_second", 0, 0, TRACE_LINES_MOST),
         show_roster=admin.flag("roster"),
     )
+    if operator.budgets and not operator.tier.on:
+        raise ValueError("budgets: tier.on is wanted, as parts go between members of a tier")
     named = {operator.protocol, *operator.pods.values()}
     if MSGPACK_RPC in named and not made.nodes:
         raise ValueError(f"nodes: {MSGPACK_RPC} is named, but msgpack_rpc.nodes is not true")
@@ -193,6 +216,46 @@
     return made
 
 
+def _budgets(given: Any) -> tuple[Budgeted, ...]:
+    if not isinstance(given, Mapping) or len(given) > BUDGETS_MOST:
+        raise ValueError(f"budgets: {BUDGETS_MOST} tables at most are wanted")
+    made = tuple(_budget(name, each) for name, each in given.items())
+    uses = [(each.of, each.tenant) for each in made]
+    for each, use in zip(made, uses, strict=True):
+        if uses.count(use) > 1:
+            raise ValueError(f"budgets.{each.budget.name}.of: another budget is of the same")
+    return made
+
+
+def _budget(name: str, given: Any) -> Budgeted:
+    table = _Table(f"budgets.{name}.", given, BUDGET_FIELDS)
+    kind, of = table.text("kind", RATE), table.text("of", "")
+    if of not in (RETRIES, PROBES, TENANT):
+        raise ValueError(f"budgets.{name}.of: {RETRIES}, {PROBES} or {TENANT} is wanted, not {of!r:.40}")
+    tenant = table.text("tenant", "")
+    if (of == TENANT) is not bool(tenant):
+        raise ValueError(f"budgets.{name}.tenant: wanted of a tenant's budget, and of no other")
+    if kind != RATE:
+        raise ValueError(f"budgets.{name}.kind: of {of} {RATE} is wanted, not {kind!r:.40}")
+    budget = Budget(
+        name,
+        kind,
+        table.whole("whole", 0, 0, AMOUNT_MOST),
+        table.whole("burst", 0, 0, AMOUNT_MOST),
+        round(table.number("floor", 0.0, 0.0, float(AMOUNT_MOST)) * THOUSANDTHS),
+        table.whole("members", 1, 1, 100_000),
+        table.texts("keepers"),
+        round(table.number("lease_s", 5.0, 1.0, 600.0) * 1e6),
+        round(table.number("silence_s", 0.0, 0.0, 3600.0) * 1e6),
+        drift_ppm=round(table.number("drift_percent", 1.0, 0.01, 20.0) * 1e4),
+    )
+    try:
+        budget.check()
+    except ValueError as bad:
+        raise ValueError(f"budgets.{name}.{bad}") from None
+    return Budgeted(budget, of, tenant or None)
+
+
 class _Table:
     """One table of the file; each complaint names the path of the field."""
 
--- a/topazbank/tier/detector.py
+++ b/topazbank/tier/detector.py
@@ -378,6 +378,11 @@
         if record is not None and record.counts and record.life == probe.life:
             self._suspect(now, record, self._mark, mine=True)
 
+    def address_of(self, ident: int) -> Address | None:
+        """Where this member hears, as far as it is known."""
+        record = self.table.records.get(ident)
+        return self._address_of(record) if record is not None else None
+
     def _address_of(self, record: Record) -> Address | None:
         return self._book.get(record.ident) or record.address
 
--- a/topazbank/tier/service.py
+++ b/topazbank/tier/service.py
@@ -10,8 +10,10 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from topazbank.budget.service import BudgetService, is_word
 from topazbank.core.driver import Config
 from topazbank.core.net import Address
+from topazbank.interface import Spending
 from topazbank.operator import Tiering
 from topazbank.sight.others import Others
 from topazbank.tier.detector import Before, Change, Detector, Out
@@ -79,6 +81,7 @@
         self._second, self._lines, self._heard = 0, 0, 0
         self._sent = 0
         self._resting = False
+        self.budgets: BudgetService | None = None  # whose words come to the same address
 
     # -- Life ------------------------------------------------------------------------------------------
 
@@ -86,21 +89,29 @@
         """Take part from now on."""
         self._send = send
         self._tick()
+        if self.budgets is not None:
+            self.budgets.start(send)
 
     def stop(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        if self.budgets is not None:
+            self.budgets.stop()
         self._send = None
 
     def leave(self) -> None:
         """This sidecar ends: say so, unless another process is this member now."""
+        if self.budgets is not None:
+            self.budgets.leave()
         if not self._resting:
             self._post(self.detector.leave(self._clock()))
 
     def rest(self) -> None:
         """Another process is this member now."""
         self._resting = True
+        if self.budgets is not None:
+            self.budgets.rest()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -112,6 +123,8 @@
             log.info("tier: takes part again, the process that came has ended")
             self.detector.resume(self._clock())
             self._tick()
+            if self.budgets is not None:
+                self.budgets.resume()
 
     # -- In and out ------------------------------------------------------------------------------------
 
@@ -119,6 +132,10 @@
         """Take what came from there; what is none of the tier's is counted and dropped."""
         if self._resting:
             return
+        if self.budgets is not None and is_word(data):
+            if self._key or self._is_known(source):
+                self.budgets.datagram(data, source)
+            return
         self._turn_second()
         self._heard += 1
         if self._heard > HEARD_MOST:
@@ -215,6 +232,14 @@
             "records": records,
         }
 
+    def address_of(self, name: str) -> Address | None:
+        """Where the member of this name is by now; None: it is not known."""
+        return self.detector.address_of(ident_of(name))
+
+    def spending(self, offset_us: int) -> Spending | None:
+        """What the decision module may spend by; `offset_us`: of its clock beyond this one's."""
+        return self.budgets.spending(offset_us) if self.budgets is not None else None
+
     def lives(self) -> Lives:
         """For planners: this one, and the latest of whom it can tell that they are gone."""
         detector, now = self.detector, self._clock()
@@ -260,6 +285,7 @@
             "stalls": self.detector.stalls,
             "sent": self._sent,
             "dropped": dict(self.dropped),
+            "budgets": self.budgets.show() if self.budgets is not None else None,
             "members": members,
             "changes": self._changes,
         }
--- a/topazbank/wiring.py
+++ b/topazbank/wiring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Any
@@ -17,7 +18,7 @@
 from topazbank.interface import Settings
 from topazbank.membership.both import Several
 from topazbank.membership.registry import Discovery
-from topazbank.operator import REGISTRY, ZOOKEEPER, Membership, Operator, Planning, Tiering, ZooKeeper
+from topazbank.operator import REGISTRY, ZOOKEEPER, Membership, Operator, Planning, ZooKeeper
 from topazbank.sight.others import Others
 
 
@@ -54,7 +55,7 @@
         dialects,
         partial(_forwarding, operator.planning) if operator.planning.planners else None,
         partial(Trace, lines_per_second=operator.trace_lines) if operator.trace_lines else None,
-        partial(_tier_part, operator.tier) if operator.tier.on else None,
+        partial(_tier_part, operator) if operator.tier.on else None,
     )
 
 
@@ -65,10 +66,23 @@
     return Forwarding(name, given.planners, now, config.seed)
 
 
-def _tier_part(given: Tiering, config: Config, others: Others, known: Mapping[str, Any]) -> TierPart:
+def _tier_part(given: Operator, config: Config, others: Others, known: Mapping[str, Any]) -> TierPart:
     from topazbank.tier.service import TierService
 
-    return TierService(given, config, others, known)
+    service = TierService(given.tier, config, others, known)
+    if given.budgets:
+        from topazbank.budget.service import BudgetService
+
+        service.budgets = BudgetService(
+            [(each.budget, each.of, each.tenant) for each in given.budgets],
+            service.name,
+            service.address_of,
+            lambda: time.monotonic_ns() // 1000,
+            config.folder,
+            given.tier.key.encode(),
+            given.ledger,
+        )
+    return service
 
 
 Hear = Callable[[Told | None], None]
