--- a/standins/tier/rig.py
+++ b/standins/tier/rig.py
@@ -44,6 +44,7 @@
 nodes = true
 [admin]
 roster = true
+budgets_ledger = "{ledger}"
 [tier]
 on = {on}
 """
@@ -87,8 +88,20 @@
 class Rig:
     """The processes, what surrounds them, and what was done and seen."""
 
-    def __init__(self, members: int, seed: int, on: bool = True, rate: float = 60.0) -> None:
-        """`on`: whether membership is; `rate`: calls a second, over all sidecars that no fault touches."""
+    def __init__(
+        self,
+        members: int,
+        seed: int,
+        on: bool = True,
+        rate: float = 60.0,
+        more: str = "",
+        hammer: float = 0.0,
+    ) -> None:
+        """`on`: whether membership is; `rate`: calls a second, over all sidecars that no fault touches.
+
+        `more`: of the operator file.  `hammer`: calls a second to all sidecars, whose answers nobody looks at.
+        """
+        self._more, self._hammer = more, hammer
         self.count, self.seed, self.on, self._rate = members, seed, on, rate
         self._folder = tempfile.TemporaryDirectory(prefix="tier-")
         root, host = Path(self._folder.name), own_host()
@@ -115,6 +128,7 @@
         self._began = now()
         self._tasks: set[asyncio.Task[None]] = set()
         self.clients = Clients(random.Random(seed), protocols=(HTTP, MSGPACK_RPC))
+        self.hammers = Clients(random.Random(seed + 1), "x")
         self._burners: list[asyncio.subprocess.Process] = []
 
     # -- Life ------------------------------------------------------------------------------------------
@@ -137,7 +151,7 @@
             await self._way(number, server.address)
             self.registry.put(self._entry(number))
         (Path(self._folder.name) / "operator.toml").write_text(
-            OPERATOR.format(on="true" if self.on else "false")
+            OPERATOR.format(on="true" if self.on else "false", ledger=self._folder.name) + self._more
         )
         await asyncio.gather(*(self._launch(each) for each in self.members))
         if self.on and not await self.until_equal(START_S):
@@ -155,6 +169,7 @@
         for task in list(self._tasks):
             task.cancel()
         self.clients.stop()
+        self.hammers.stop()
         for each in self._burners:
             with contextlib.suppress(ProcessLookupError):
                 each.kill()
@@ -303,6 +318,9 @@
         elif step.do.startswith("tcp_"):
             for each in step.to:
                 self._tcp(self.ways[each], step.do)
+        elif step.do in ("refuse", "accept"):
+            for each in step.to:
+                self.nodes[each].lodge.draining = step.do == "refuse"
         elif step.do in ("drain", "undrain"):
             for each in step.to:
                 self._drain(each, step.do == "drain")
@@ -424,6 +442,9 @@
         load = asyncio.get_running_loop().create_task(
             self.clients.load(self._rate, over, lambda: served, lambda n: self.members[n].listen)
         )
+        hammering = asyncio.get_running_loop().create_task(
+            self.hammers.load(self._hammer or 1e-3, over, self._numbers, lambda n: self.members[n].listen)
+        )
         watching = asyncio.get_running_loop().create_task(self._watch()) if self.on else None
         for step in script.steps:
             await asyncio.sleep(max(self._began + step.at - now(), 0.0))
@@ -437,15 +458,35 @@
             self.looks.clear()
             await self.until_equal(script.waits)
         over.set()
+        hammering.cancel()
         await load
         noted = sorted(self._noted, key=lambda each: each.at)
         ended_script = replace(script, faults_end_s=ended)
         found = judge(ended_script, self.done, noted, self.looks, self.lives) if self.on else Found()
         lives = {each: [(0.0, now())] for each in range(self.count)}
-        verdicts = judge_rules(self.clients.calls, self._reached, self.log.runs, self._words, lives, [])
+        reached = [each for each in self._reached if not each.ident.startswith("x-")]
+        runs = [each for each in self.log.runs if not each.ident.startswith("x-")]
+        verdicts = judge_rules(self.clients.calls, reached, runs, self._words, lives, [])
         await self._restore()
         return found, verdicts
 
+    def _numbers(self) -> list[int]:
+        return [each.number for each in self._there()] if self._hammer else []
+
+    def extras(self) -> list[float]:
+        """When attempts after a request's first reached a node, by the nodes' own notes."""
+        seen: set[str] = set()
+        found = []
+        for each in self._reached:
+            if each.ident in seen:
+                found.append(each.at)
+            seen.add(each.ident)
+        return found
+
+    @property
+    def folder(self) -> Path:
+        return Path(self._folder.name)
+
     def _begin(self) -> None:
         """What was noted of a former scene is not this one's."""
         self._began = now()
@@ -456,6 +497,7 @@
         self._reached.clear()
         self._words.clear()
         self.clients.calls.clear()
+        self.hammers.calls.clear()
 
     async def _watch(self) -> None:
         while True:
--- a/standins/tier/scenes.py
+++ b/standins/tier/scenes.py
@@ -20,7 +20,8 @@
     """`do`: kill, start, stop or busy (for `value` s), leave, upgrade, cut, heal, loss, delay, doubled.
 
     Of an upgrade, `value` s after the new process was begun: old_dies, new_dies, new_hangs (for 2 s, then killed).
-    Of TCP, `to` nodes by number or REGISTRY: tcp_hold (what they answer), tcp_cut, tcp_heal; of nodes: drain, undrain.
+    Of TCP, `to` nodes by number or REGISTRY: tcp_hold (what they answer), tcp_cut, tcp_heal; of nodes: drain, undrain,
+    refuse and accept (untold).
     """
 
     at: float
--- a/topazbank/budget/keeper.py
+++ b/topazbank/budget/keeper.py
@@ -14,7 +14,7 @@
 
 from topazbank.budget.division import divide, step
 from topazbank.budget.lease import Ask, Given
-from topazbank.budget.rules import NOTHING, RATE, Budget, Part, total
+from topazbank.budget.rules import NOTHING, Budget, Part, total
 
 HOLDERS_MOST = 8192  # lives of holders that are counted; who comes beyond gets nothing
 ANSWERS_MOST = (
@@ -126,8 +126,8 @@
         target = self._dealt.get(who)
         if target is None:  # it came after the deal: what is free, until the next one
             target = self._dealt[who] = min(ask.want, room.amount)
-        least = self.budget.whole // 100 if self.budget.kind == RATE else 1
-        amount = step(ask.holds.amount, min(target, ask.want), room.amount, max(least, 1))
+        least = max(self.slice.amount // 100, 1)  # smaller steps down go all the way
+        amount = step(ask.holds.amount, min(target, ask.want), room.amount, least)
         return Part(amount, self._burst(amount, room.burst)) if amount > 0 else NOTHING
 
     def _burst(self, amount: int, room: int) -> int:
--- a/topazbank/budget/ledger.py
+++ b/topazbank/budget/ledger.py
@@ -35,7 +35,7 @@
             "whole": budget.amount,
             "burst": budget.burst,
             "kind": budget.kind,
-            "drift_ppm": budget.drift_ppm,
+            "members": budget.members,
         }
         self._write(
             {"v": VERSION, "at": now, "what": "begins", "budget": budget.name, "floor": budget.floor, **whole}
