--- a/topazbank/budget/holder.py
+++ b/topazbank/budget/holder.py
@@ -18,7 +18,7 @@
 
 ASKED_AT_ONCE = 3  # keepers that one holder asks
 HEADROOM = 1.25  # beyond what was wanted: growth is met before the next renewal
-HALF_LIFE = 0.4  # of a lease: what was wanted a while ago counts half after it
+HALF_LIFE = 0.15  # of a lease: what was wanted a while ago counts half after it
 SOON = 4  # in a renewal's time: how often it asks at most, while it is refused
 
 
--- a/topazbank/budget/service.py
+++ b/topazbank/budget/service.py
@@ -13,8 +13,11 @@
 
 from topazbank.budget.holder import Holder, Word
 from topazbank.budget.keeper import Keeper
+from topazbank.budget.lease import Given
 from topazbank.budget.ledger import Ledger
+from topazbank.budget.memory import Memory
 from topazbank.budget.rules import Budget
+from topazbank.budget.store import Remembered, Row, Store, slices_of
 from topazbank.budget.wire import MAGIC, BadWord, Envelope, Kind, decode, encode, mark_of
 from topazbank.core.net import Address
 from topazbank.interface import TENANT
@@ -51,6 +54,7 @@
         folder: str | None,
         key: bytes = b"",
         ledger: str = "",
+        store: str = "",
     ) -> None:
         """`budgets`: each with what it is of and the tenant; `now`: monotonic microseconds.
 
@@ -68,6 +72,12 @@
         self.keepers: dict[int, Keeper] = {}
         self._kept = {mark: each for mark, each in self._budgets.items() if name in each.keepers}
         self._lock: BinaryIO | None = None
+        self._memory: Memory | None = None  # while the lock is held
+        self._store = store
+        if self._kept and folder is None:
+            log.warning(
+                "budgets: keeps nothing, since no TMPDIR says where another process of this name would be seen"
+            )
         self._send: Callable[[Address, bytes], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._resting = False
@@ -120,25 +130,43 @@
 
     def _take_up(self, now: int) -> None:
         """Keep, once no other process of this member does: the lock goes with a process, stopped or not, to its end."""
-        if not self._kept or self.keepers or self._resting:
+        if not self._kept or self._lock is not None or self._resting or self._folder is None:
             return
-        if self._folder is not None and self._lock is None:
-            lock = open(Path(self._folder) / f"topazbank-keeps-{self._name.replace('/', '_')}", "ab")
-            try:
-                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            except OSError:
-                lock.close()
-                return
-            self._lock = lock
+        file = f"topazbank-keeps-{self._name.replace('/', '_')}"
+        lock = open(Path(self._folder) / file, "ab")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            return
+        self._lock = lock
+        if not self._store:
+            self._keep(None)
+            return
+        slices = {mark: each.slice_of(self._name) for mark, each in self._kept.items()}
+        self._memory = Memory(Store(Path(self._store) / f"{file}.sqlite", slices_of(slices)), self._now)
+        self._memory.begin(self._keep)
+
+    def _keep(self, remembered: Mapping[int, Remembered] | None) -> None:
+        """Begin to keep, by what is remembered; None: what was given may be forgotten."""
+        if self._resting or self._send is None:
+            return
+        now = self._now()
         for mark, budget in self._kept.items():
-            self.keepers[mark] = Keeper(budget, budget.slice_of(self._name), now)
-        log.info("budgets: keeps %d slices, quiet at first", len(self._kept))
+            known = None if remembered is None else remembered.get(mark, [])
+            self.keepers[mark] = Keeper(budget, budget.slice_of(self._name), now, known)
+        quiet = "quiet at first" if remembered is None else "by what it remembers"
+        log.info("budgets: keeps %d slices, %s", len(self._kept), quiet)
 
     def _lay_down(self) -> None:
+        """Keep no more: whoever takes the lock next finds all that was given on the disk."""
         self.keepers.clear()
-        if self._lock is not None:
-            self._lock.close()
-            self._lock = None
+        lock, self._lock = self._lock, None
+        memory, self._memory = self._memory, None
+        if memory is not None and lock is not None:
+            memory.end(lock.close)
+        elif lock is not None:
+            lock.close()
 
     # -- In and out ------------------------------------------------------------------------------------
 
@@ -193,7 +221,8 @@
             given = keeper.ask(now, who, word.ask)
             if given is not None:
                 # The holder's own life goes with it: an answer to a former life is none of the new one's.
-                self._write(source, Envelope(Kind.GIVEN, self._who[0], word.life, word.budget, given=given))
+                answer = Envelope(Kind.GIVEN, self._who[0], word.life, word.budget, given=given)
+                self._once_kept(word, given, lambda: self._write(source, answer))
         if self._ledger is not None:
             self._ledger.keeps(now, keeper)
 
@@ -218,7 +247,21 @@
             return
         given = keeper.ask(self._now(), self._who, word.ask)
         if given is not None:
-            self.holders[word.budget].take(self._now(), self._name, given)
+            self._once_kept(word, given, lambda: self._take_own(word.budget, given))
+
+    def _take_own(self, mark: int, given: Given) -> None:
+        self.holders[mark].take(self._now(), self._name, given)
+
+    def _once_kept(self, word: Envelope, given: Given, leave: Callable[[], None]) -> None:
+        """Let an answer leave: where it is to be remembered, once it is on the disk."""
+        if self._memory is None or not given.part:
+            leave()
+            return
+        assert word.ask is not None
+        budget = self._budgets[word.budget]
+        until = self._now() + budget.counted_us(given.lease_us)
+        row = Row(word.budget, (word.sender, word.life), given.number, given.part, until, word.ask.held)
+        self._memory.remember(row, leave)
 
     def _write(self, address: Address, word: Envelope) -> None:
         if self._send is not None:
--- a/topazbank/operator.py
+++ b/topazbank/operator.py
@@ -111,6 +111,7 @@
     tier: Tiering = field(default_factory=Tiering)
     budgets: tuple[Budgeted, ...] = ()  # BUDGETS_MOST
     ledger: str = ""  # a folder: what came of the budgets is written there
+    store: str = ""  # a folder that lasts: what keepers gave is remembered there
     trace_lines: int = 0  # a second, beside the log: what was decided, event by event; 0: none
     show_roster: bool = False  # GET /admin/roster on the one listener
 
@@ -130,7 +131,7 @@
     """Check what the file holds; a name that is not known is an error, since it would set nothing."""
     known = ("msgpack_rpc", "nodes", "membership", "planning", "tier", "budgets", "admin", "trace")
     top = _Table("", given, known)
-    admin = top.table("admin", ("roster", "budgets_ledger"))
+    admin = top.table("admin", ("roster", "budgets_ledger", "budgets_store"))
     trace = top.table("trace", ("lines_per_second",))
     rpc = top.table("msgpack_rpc", MsgpackRpc.__dataclass_fields__)
     nodes = top.table("nodes", ("protocol", "pods"))
@@ -151,6 +152,7 @@
         _tier(top),
         _budgets(given.get("budgets", {})),
         admin.text("budgets_ledger", ""),
+        admin.text("budgets_store", ""),
         trace.whole("lines_per_second", 0, 0, TRACE_LINES_MOST),
         show_roster=admin.flag("roster"),
     )
--- a/topazbank/wiring.py
+++ b/topazbank/wiring.py
@@ -81,6 +81,7 @@
             config.folder,
             given.tier.key.encode(),
             given.ledger,
+            given.store,
         )
     return service
 
