A rig's child gives each its own answer, also after one that asked was cancelled

Seen once in make check: the process fleet's scene of a stopped leader failed on "list indices must be integers", as the answer to a look that was cancelled while it was awaited was read as the answer to "finish". Ruled out: the program, which the scene had not judged yet. The exchange now goes on to its end behind whoever asked.

--- a/standins/fleet/child.py
+++ b/standins/fleet/child.py
@@ -44,7 +44,13 @@
         return json.loads(line)
 
     async def say(self, line: str) -> Any:
-        """Tell it a line and give what it answers."""
+        """Tell it a line and give what it answers.
+
+        Who asks may be cancelled; the answer is read all the same, or it would be the next one's.
+        """
+        return await asyncio.shield(asyncio.get_running_loop().create_task(self._exchange(line)))
+
+    async def _exchange(self, line: str) -> Any:
         async with self._turn:
             assert self._process is not None and self._process.stdin is not None
             self._process.stdin.write(f"{line}\n".encode())
