One seal of datagrams, one played time; full ledgers and unknown keepers are told

Written twice: the check of the tier's and the budgets' datagrams (core/seal.py now), played time and its network of both (standins/played.py). Out, since nothing used or set them: a kind of word, an operator's kind of budget that had one value, a keeper's account of what it remembers, a time of the audit. On the way of a request: a pair was made for each question to the purses; on each answer all keepers' names were hashed.

Wrong: an audit passed ledgers that were full or of a later version as if all were known; a keeper that no member is was taken; a store that could not be opened once was not tried again. Each has a test.

--- a/benchmarks/budget_use.py
+++ b/benchmarks/budget_use.py
@@ -1,9 +1,9 @@
 """How much of a fleet-wide budget is in use where demand moves: leases from keepers, one allocator, fixed parts.
 
-    python -m benchmarks.budget_use [--sizes 40 1000 5000] [--seconds 60] [--seeds 3] [--plot FILE]
+    python -m benchmarks.budget_use [--sizes 40 1000 5000] [--seconds 60] [--seeds 3] [--losses 0 0.2 0.4]
 
 In one run, in played time: the part of the possible (by who knew all demand at once) that was spent, messages and bytes
-a member and second, how far spending ran ahead, and seconds until a newly busy member has nine tenths of its part.
+a member and second, and how far spending ran ahead of the whole's rate.
 """
 
 from __future__ import annotations
@@ -42,14 +42,11 @@
         return rate if (number - first) % members < busy else 0.1
 
     fleet = Fleet(budget_of(members, way), members, demand, seed, look_s=0.05 if members < 500 else 0.5)
-    fleet.loss = loss
-    if way == "one allocator":  # it dies once, and who follows it waits out its leases
+    fleet.faults.loss = loss
+    if way != "fixed parts":  # a keeper dies once, and who follows it waits out its leases
         fleet.at(seconds / 2, lambda: fleet.kill(0))
         fleet.at(seconds / 2 + 2.0, lambda: fleet.start(0))
-    elif way == "keepers":
-        fleet.at(seconds / 2, lambda: fleet.kill(0))
-        fleet.at(seconds / 2 + 2.0, lambda: fleet.start(0))
-    return fleet.run(seconds)
+    return fleet.play(seconds)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- a/standins/budget/model.py
+++ b/standins/budget/model.py
@@ -166,10 +166,15 @@
 
 def _lose(world: World, fault: Fault, remembers: bool) -> None:
     world.restarts += 1
-    known = world.keeper.remembered() if remembers else None
+    known = remembered(world.keeper) if remembers else None
     world.keeper = fault.keeper(fault.budget, Part(WHOLE), world.now, known)
 
 
+def remembered(keeper: Keeper) -> list[tuple[Who, int, Part, int]]:
+    """What a keeper's store would have."""
+    return [(who, a.number, a.part, a.until) for who, each in keeper.holders.items() for a in each.answers]
+
+
 def _mark(world: World) -> str:
     """What tells one state from another: times count from now, and what no longer matters is left out."""
     keeper, now, slow = world.keeper, world.now, world.slow()
--- a/standins/budget/played.py
+++ b/standins/budget/played.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from standins.played import PlayedTime
 from topazbank.budget.holder import Holder, Word
 from topazbank.budget.keeper import Keeper
 from topazbank.budget.lease import Given
@@ -19,7 +18,6 @@
 from topazbank.budget.wire import Envelope, Kind, encode
 
 TICK_S = 0.1  # as the service's
-LAG_S = (0.0002, 0.002)
 EPSILON = 1e-6
 
 Demand = Callable[[float, int], float]  # wanted a second, at this time, by this member
@@ -57,20 +55,14 @@
     breaches: list[str] = field(default_factory=list)
 
 
-class Fleet:
+class Fleet(PlayedTime):
     """Members 0 to n - 1, of which the budget's keepers are the first."""
 
     def __init__(self, budget: Budget, members: int, demand: Demand, seed: int, look_s: float = 0.05) -> None:
-        self.budget, self.demand, self.members = budget, demand, members
-        self.random = random.Random(seed)
+        super().__init__(seed)
+        self.budget, self.demand = budget, demand
         self.result = Result()
-        self.now = 0.0
-        self.loss = self.delay_s = self.doubled = 0.0
-        self.cuts: set[tuple[int, int]] = set()
         self.lives: dict[int, Life] = {}
-        self.stopped: list[Life] = []  # of former processes that still stand: they may wake
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._look_s = look_s
         self._level, self._level_at = 0.0, 0.0
         self._keepers = {name: int(name) for name in budget.keepers}
@@ -80,14 +72,8 @@
 
     # -- Time and processes ----------------------------------------------------------------------------
 
-    def at(self, when: float, do: Callable[[], None]) -> None:
-        heapq.heappush(self._heap, (when, next(self._order), do))
-
-    def run(self, until: float) -> Result:
-        while self._heap and self._heap[0][0] <= until:
-            self.now, _, do = heapq.heappop(self._heap)
-            do()
-        self.now = until
+    def play(self, until: float) -> Result:
+        self.run(until)
         return self.result
 
     def start(self, number: int, fresh: bool = False) -> None:
@@ -201,11 +187,7 @@
             return
         self.result.messages += 1
         self.result.bytes += len(encode(envelope))
-        if (sender, to) in self.cuts or self.random.random() < self.loss:
-            return
-        for _ in range(2 if self.random.random() < self.doubled else 1):
-            lag = self.random.uniform(*LAG_S) + self.delay_s * self.random.random()
-            self.at(self.now + lag, deliver)
+        self.carry(sender, to, deliver)
 
 
 def troubled(seed: int, seconds: float = 20.0) -> Result:
@@ -234,16 +216,16 @@
         elif kind == "stop":
             fleet.stop(number, chance.uniform(0.1, 6.0))
         elif kind == "cut":
-            fleet.cuts.add((number, chance.randrange(members)))
+            fleet.faults.cuts.add((number, chance.randrange(members)))
         elif kind == "heal":
-            fleet.cuts.clear()
+            fleet.faults.cuts.clear()
         elif kind == "calm":
-            fleet.loss = fleet.delay_s = fleet.doubled = 0.0
+            fleet.faults.loss = fleet.faults.delay_s = fleet.faults.doubled = 0.0
         elif kind in ("loss", "doubled"):
-            setattr(fleet, kind, chance.choice((0.2, 0.4)))
+            setattr(fleet.faults, kind, chance.choice((0.2, 0.4)))
         elif kind == "delay":
-            fleet.delay_s = chance.choice((0.5, 3.0))
+            fleet.faults.delay_s = chance.choice((0.5, 3.0))
         fleet.at(fleet.now + chance.uniform(0.05, 1.0), fault)
 
     fleet.at(1.0, fault)
-    return fleet.run(seconds)
+    return fleet.play(seconds)
--- a/standins/tier/played.py
+++ b/standins/tier/played.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import functools
-import heapq
-import itertools
 import operator
-import random
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
+from standins.played import PlayedTime
 from standins.tier.judge import Done, Found, Looked, Noted, judge
 from standins.tier.scenes import Script, Step
 from topazbank.core.net import Address
@@ -22,7 +21,6 @@
 from topazbank.tier.wire import Message, encode
 
 LOOK_EVERY_S = 0.25
-LAG_S = (0.0002, 0.002)  # of a datagram on a quiet network
 STOPPED_KEPT = 300  # datagrams that wait for a process that stands still, as its socket's buffer would hold
 EPOCH = 1_800_000_000_000  # milliseconds: when played time begins
 
@@ -31,16 +29,6 @@
     return (f"m{number}", 7000)
 
 
-@dataclass(slots=True)
-class Faults:
-    """What the network does to a datagram."""
-
-    loss: float = 0.0
-    delay_s: float = 0.0
-    doubled: float = 0.0
-    cuts: set[tuple[int, int]] = field(default_factory=set)
-
-
 @dataclass(slots=True)
 class Life:
     """One process."""
@@ -58,7 +46,7 @@
 Maker = Callable[..., Detector]
 
 
-class Played:
+class Played(PlayedTime):
     """The rig of played time."""
 
     def __init__(
@@ -71,22 +59,18 @@
         settled: bool = False,
     ) -> None:
         """`measured`: count bytes too; `settled`: all know one another from the start."""
+        super().__init__(seed)
         self.rules = rules or Rules()
-        self.random = random.Random(seed)
         self.seed, self.members = seed, members
         self.make = make
         self.measured = measured
-        self.now = 0.0
         self.idents = {ident_of(str(number)): number for number in range(members)}
         self.lives: dict[int, Life] = {}
-        self.faults = Faults()
         self.noted: list[Noted] = []
         self.done: list[Done] = []
         self.looks: list[Looked] = []
         self.sent: Counter[str] = Counter()
         self.sent_by: Counter[int] = Counter()
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._lives = 0
         base = self._settled() if settled else None
         self._digest = functools.reduce(operator.xor, map(mark_of, (base or {}).values()), 0)
@@ -101,15 +85,6 @@
 
     # -- Time ------------------------------------------------------------------------------------------
 
-    def at(self, when: float, do: Callable[[], None]) -> None:
-        heapq.heappush(self._heap, (when, next(self._order), do))
-
-    def run(self, until: float) -> None:
-        while self._heap and self._heap[0][0] <= until:
-            self.now, _, do = heapq.heappop(self._heap)
-            do()
-        self.now = until
-
     def us(self) -> int:
         return round(self.now * 1e6)
 
@@ -187,15 +162,7 @@
                 size = len(encode(each.message))
                 self.sent["bytes"] += size
                 self.sent["longest"] = max(self.sent["longest"], size)
-            self._carry(process.number, to, each.message)
-
-    def _carry(self, sender: int, to: int, message: Message) -> None:
-        faults = self.faults
-        if (sender, to) in faults.cuts or (faults.loss and self.random.random() < faults.loss):
-            return
-        for _ in range(2 if faults.doubled and self.random.random() < faults.doubled else 1):
-            lag = self.random.uniform(*LAG_S) + faults.delay_s * self.random.random()
-            self.at(self.now + lag, lambda: self._arrive(sender, to, message))
+            self.carry(process.number, to, partial(self._arrive, process.number, to, each.message))
 
     def _arrive(self, sender: int, to: int, message: Message) -> None:
         process = self.lives.get(to)
@@ -293,6 +260,4 @@
 
 
 def _earlier(each: Any, by: float) -> Any:
-    from dataclasses import replace
-
     return replace(each, at=each.at - by)
--- a/standins/tier/rig.py
+++ b/standins/tier/rig.py
@@ -442,9 +442,7 @@
         load = asyncio.get_running_loop().create_task(
             self.clients.load(self._rate, over, lambda: served, lambda n: self.members[n].listen)
         )
-        hammering = asyncio.get_running_loop().create_task(
-            self.hammers.load(self._hammer or 1e-3, over, self._numbers, lambda n: self.members[n].listen)
-        )
+        hammering = asyncio.get_running_loop().create_task(self._hammering(over))
         watching = asyncio.get_running_loop().create_task(self._watch()) if self.on else None
         for step in script.steps:
             await asyncio.sleep(max(self._began + step.at - now(), 0.0))
@@ -470,8 +468,10 @@
         await self._restore()
         return found, verdicts
 
-    def _numbers(self) -> list[int]:
-        return [each.number for each in self._there()] if self._hammer else []
+    async def _hammering(self, over: asyncio.Event) -> None:
+        if self._hammer:
+            there = lambda: [each.number for each in self._there()]  # noqa: E731
+            await self.hammers.load(self._hammer, over, there, lambda n: self.members[n].listen)
 
     def extras(self) -> list[float]:
         """When attempts after a request's first reached a node, by the nodes' own notes."""
--- a/tests/budget/test_audit.py
+++ b/tests/budget/test_audit.py
@@ -64,6 +64,10 @@
 def test_a_line_cut_at_the_end_is_left_out_and_any_other_bad_one_is_told(tmp_path: Path) -> None:
     good = json.dumps(begins("a")) + "\n"
     assert len(read([good, good[:20]])) == 1
+    with pytest.raises(BadLedger, match="not all is known"):
+        read([good, json.dumps({"by": "a", "at": S, "what": "full"}) + "\n"])
+    with pytest.raises(BadLedger, match="not all is known"):
+        read([json.dumps(begins("a") | {"v": 2}) + "\n"])
     with pytest.raises(BadLedger, match="no line of a ledger"):
         read([good, "junk\n"])
 
--- a/tests/budget/test_keeping.py
+++ b/tests/budget/test_keeping.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import time
+import tomllib
 from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 from loopback import play, until
 
+from topazbank.budget import memory
 from topazbank.budget.__main__ import table
 from topazbank.budget.rules import Budget
 from topazbank.budget.service import HEARD_MOST, BudgetService, is_word
@@ -138,13 +140,19 @@
     play(scene())
 
 
-def test_a_store_that_can_not_be_written_keeps_nothing_and_harms_nobody(tmp_path: Path) -> None:
+def test_a_store_that_can_not_be_opened_keeps_nothing_until_it_can(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(memory, "AGAIN_S", 0.1)
+
     async def scene() -> None:
         network = Network(tmp_path)
         (tmp_path / "topazbank-keeps-0.sqlite").mkdir()
         keeper = network.start("0", store=True)
         await asyncio.sleep(0.3)
         assert not keeper.keepers and held(keeper) == BUDGET.floor
+        (tmp_path / "topazbank-keeps-0.sqlite").rmdir()
+        await until(lambda: keeper.keepers)
         network.stop()
 
     play(scene())
@@ -188,7 +196,6 @@
         ("whole = 40", "hole = 40", "budgets.b.hole: not known"),
         ('"retries"', '"lodges"', "budgets.b.of: retries, probes or tenant is wanted, not 'lodges'"),
         ('"retries"', '"tenant"', "budgets.b.tenant: wanted of a tenant's budget"),
-        ("whole = 40", 'whole = 40\nkind = "stock"', "budgets.b.kind: of retries rate is wanted"),
         ("burst = 160", "burst = 79", "budgets.b.burst: 80 at least is wanted"),
         ("floor = 0.25", "floor = 0.6", "budgets.b.floor: the floors of 80 members are more than the whole"),
         ('"0", "1"', '"0", "0"', "budgets.b.keepers: 16 different names at most"),
@@ -197,8 +204,6 @@
     ],
 )
 def test_a_bad_budget_is_named_with_its_field_and_the_remedy(was: str, now: str, complaint: str) -> None:
-    import tomllib
-
     def read(text: str) -> object:
         return operator_from(tomllib.loads(f"[tier]\non = true\n[budgets.b]\n{text}"))
 
--- a/tests/budget/test_played.py
+++ b/tests/budget/test_played.py
@@ -27,7 +27,7 @@
 def test_a_keeper_that_gives_more_than_its_slice_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Keeper, "_room", lambda self, holder: Part(self.slice.amount, self.slice.burst))
     fleet = Fleet(BUDGET, 6, lambda now, number: 100.0, 1)
-    assert any("held of" in each for each in fleet.run(10.0).breaches)
+    assert any("held of" in each for each in fleet.play(10.0).breaches)
 
 
 def test_what_one_does_not_use_another_has_within_two_renewals() -> None:
--- a/tests/budget/test_store.py
+++ b/tests/budget/test_store.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from standins.budget.model import remembered
 from topazbank.budget.keeper import Keeper
 from topazbank.budget.lease import Ask
 from topazbank.budget.rules import NOTHING, Budget, Part
@@ -121,7 +122,7 @@
         store = Store(path, "s", "b")
         known = store.open(S)
         keeper = Keeper(budget, slice_, S, (known or {}).get(1, []))
-        held = {who: n for who, n, _, _ in keeper.remembered()}
+        held = {who: n for who, n, _, _ in remembered(keeper)}
         number = max(held.values(), default=0)
         while True:
             number += 1
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -104,6 +104,16 @@
         check_tier(replace(config, **changes), given)
 
 
+def test_a_keeper_that_no_member_is_is_told_at_the_start() -> None:
+    here = ("127.0.0.1", 9)
+    given = settings(limits={"may_message": True})
+    config = Config(here, here, 7, 256, given, Told(0, True, []), Tier(here, (here, here)))
+    budget = {"of": "retries", "whole": 1, "burst": 2, "keepers": ["1", "2"]}
+    with pytest.raises(ValueError, match=r"budgets\.b\.keepers: '2' is no number in peers"):
+        check_tier(config, operator_from({"tier": {"on": True}, "budgets": {"b": budget}}))
+    check_tier(config, operator_from({"tier": {"on": True, "name": "a"}, "budgets": {"b": budget}}))
+
+
 def test_a_bad_tier_ends_the_start_with_one_line_and_code_2(tmp_path: Path) -> None:
     path = tmp_path / "operator.toml"
     for text, complaint in (("on = 'yes'", "tier.on"), ("on = true", "peer_listen")):
--- a/tests/tier/test_datagrams.py
+++ b/tests/tier/test_datagrams.py
@@ -9,10 +9,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from topazbank.core.seal import CHECK, sealed
 from topazbank.sight.hearsay import VERSION as HEARSAY
 from topazbank.tier.member import Record, State, ident_of
 from topazbank.tier.wire import (
-    CHECK,
     LEAST,
     MAGIC,
     BadMessage,
@@ -89,30 +89,24 @@
         decode(bytes([MAGIC]) + noise)
 
 
-def _resealed(body: bytes) -> bytes:
-    import hashlib
-
-    return body + hashlib.blake2b(body, digest_size=CHECK).digest()
-
-
 def test_a_later_versions_sections_record_lengths_states_and_kinds_are_skipped() -> None:
     record = Record(5, 6, 7, State.HERE, ("127.0.0.1", 9), 0)
     body = encode(Message(Kind.PING, 1, 2, 3, 4, news=(record,)))[:-CHECK]
     later = body + struct.pack("!BH", 99, 3) + b"abc"
-    assert decode(_resealed(later)).news == (record,)
+    assert decode(sealed(later)).news == (record,)
     head, packed = body[:40], body[44:]
     longer = head + struct.pack("!BH", 1, 1 + len(packed) + 2) + bytes([len(packed) + 2]) + packed + b"xy"
-    assert decode(_resealed(longer)).news == (record,)
+    assert decode(sealed(longer)).news == (record,)
     strange = bytearray(body)
     strange[44 + 14] = 77  # a state
-    assert decode(_resealed(bytes(strange))).news == ()
+    assert decode(sealed(bytes(strange))).news == ()
     strange = bytearray(body)
     strange[2] = 77  # a kind
-    assert decode(_resealed(bytes(strange))).kind is Kind.TELL
+    assert decode(sealed(bytes(strange))).kind is Kind.TELL
     strange = bytearray(body)
     strange[1] = 2
     with pytest.raises(BadMessage, match="version 2"):
-        decode(_resealed(bytes(strange)))
+        decode(sealed(bytes(strange)))
 
 
 def test_hearsay_and_the_tier_are_told_apart_by_their_first_byte() -> None:
--- a/topazbank/budget/audit.py
+++ b/topazbank/budget/audit.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from topazbank.budget.ledger import VERSION
 from topazbank.budget.rules import RATE, THOUSANDTHS
 
 BREACHES_KEPT = 20
@@ -36,7 +37,6 @@
     shared: int = 0  # of the whole, beside the floors of all who may exist
     processes: set[Process] = field(default_factory=set)
     most_held: int = 0  # of what is shared
-    most_at: int = 0
     spent: int = 0
     refused: int = 0
     most_spent: float = 0.0  # of the burst: how much the spending ran ahead of the whole's rate at the most
@@ -52,7 +52,11 @@
             continue
         try:
             record = json.loads(line)
+            if record["what"] == "full" or record.get("v", VERSION) > VERSION:
+                raise BadLedger(f"of {record['by']} not all is known: {line[:80]!r}")
             found.append((int(record["at"]), len(found), record))
+        except BadLedger:
+            raise
         except (ValueError, KeyError, TypeError):
             raise BadLedger(f"no line of a ledger: {line[:80]!r}") from None
     return [record for _, _, record in sorted(found, key=lambda each: each[:2])]
@@ -107,7 +111,7 @@
                 heapq.heappush(ends, (after[1], process, keeper))
         account.times.append((at, held))
         if held > account.most_held:
-            account.most_held, account.most_at = held, at
+            account.most_held = held
         if held > account.shared:
             shares = ", ".join(f"{p[0]} {a} by {k}" for (p, k), (a, _) in parts.items())
             _breach(account, f"at {at / 1e6:.3f} s {held} were held of {account.shared}: {shares}")
--- a/topazbank/budget/keeper.py
+++ b/topazbank/budget/keeper.py
@@ -182,15 +182,7 @@
                 del self.holders[who]
                 self._dealt.pop(who, None)
 
-    def remembered(self) -> list[tuple[Who, int, Part, int]]:
-        """For the process that keeps this slice next, on the same machine."""
-        return [
-            (who, each.number, each.part, each.until)
-            for who, holder in self.holders.items()
-            for each in holder.answers
-        ]
-
     def check(self) -> None:
-        """That the books balance: for tests and `show`."""
+        """That the books balance."""
         assert self.counted == total(each.counted for each in self.holders.values())
         assert self.counted.amount <= self.slice.amount and self.counted.burst <= self.slice.burst
--- a/topazbank/budget/ledger.py
+++ b/topazbank/budget/ledger.py
@@ -72,7 +72,7 @@
         text = json.dumps({"by": self._name, "life": self._life} | line, separators=(",", ":")) + "\n"
         self._room -= len(text)
         if self._room <= 0:
-            text = json.dumps({"at": line["at"], "what": "full"}) + "\n"
+            text = json.dumps({"by": self._name, "at": line["at"], "what": "full"}) + "\n"
         self._file.write(text)
         self._file.flush()
 
--- a/topazbank/budget/memory.py
+++ b/topazbank/budget/memory.py
@@ -17,6 +17,7 @@
 log = logging.getLogger(__name__)
 
 T = TypeVar("T")
+AGAIN_S = 5.0  # between two tries to open a store
 WAITING_MOST = 4096  # answers; one beyond is lost, and asked for again
 
 
@@ -34,15 +35,20 @@
         self.lost = 0  # answers that did not come to the disk
 
     def begin(self, known: Callable[[Mapping[int, Remembered] | None], None]) -> None:
-        """Open the store; `known` is told what it remembers, or None.  Where it can't be opened nothing is kept."""
+        """Open the store, again and again until it can be; `known` is told what it remembers, or None."""
         asyncio.get_running_loop().create_task(self._begin(known))
 
     async def _begin(self, known: Callable[[Mapping[int, Remembered] | None], None]) -> None:
         try:
             found = await self._in_thread(lambda: self._store.open(self._now()))
-        except (OSError, BadStore) as fault:
+        except BadStore as fault:
             log.error("budgets: nothing is kept here: %s", fault)
             return
+        except OSError as fault:
+            log.error("budgets: nothing is kept here for now: %s", fault)
+            if not self.is_over:
+                self._marking = asyncio.get_running_loop().call_later(AGAIN_S, self.begin, known)
+            return
         if not self.is_over:
             known(found)
             self._mark()
--- a/topazbank/budget/service.py
+++ b/topazbank/budget/service.py
@@ -34,11 +34,12 @@
 
     def __init__(self, holders: Mapping[tuple[str, str | None], Holder], offset_us: int) -> None:
         """`holders`: by what they are of and the tenant; `offset_us`: of the module's clock beyond this one's."""
-        self._purses = {of: each.purse for of, each in holders.items()}
+        self._plain = {of: each.purse for (of, _), each in holders.items() if of != TENANT}
+        self._tenants = {tenant: each.purse for (of, tenant), each in holders.items() if of == TENANT}
         self._offset = offset_us
 
     def may(self, what: str, tenant: str | None, now: int) -> bool:
-        purse = self._purses.get((what, tenant if what == TENANT else None))
+        purse = self._tenants.get(tenant) if what == TENANT else self._plain.get(what)
         return purse is None or purse.spend(now - self._offset)
 
 
@@ -69,6 +70,7 @@
         began = now()
         self.holders = {mark_of(budget): Holder(budget, name, began) for budget, _, _ in budgets}
         self._by_use = {(of, tenant): self.holders[mark_of(budget)] for budget, of, tenant in budgets}
+        self._names = {ident_of(each): each for budget, _, _ in budgets for each in budget.keepers}
         self.keepers: dict[int, Keeper] = {}
         self._kept = {mark: each for mark, each in self._budgets.items() if name in each.keepers}
         self._lock: BinaryIO | None = None
@@ -203,9 +205,7 @@
 
     def _given(self, word: Envelope) -> None:
         now = self._now()
-        keeper = next(
-            (name for name in self._budgets[word.budget].keepers if ident_of(name) == word.sender), None
-        )
+        keeper = self._names.get(word.sender)
         if keeper is not None and word.given is not None and word.life == self._who[1]:
             self.holders[word.budget].take(now, keeper, word.given)
             self._note(now, word.budget)
--- a/topazbank/budget/wire.py
+++ b/topazbank/budget/wire.py
@@ -9,17 +9,16 @@
 from __future__ import annotations
 
 import hashlib
-import hmac
 import struct
 from dataclasses import dataclass
 from enum import IntEnum
 
 from topazbank.budget.lease import Ask, Given
 from topazbank.budget.rules import Budget, Part
+from topazbank.core.seal import CHECK, opened, sealed
 
 MAGIC = 0xD9  # apart from the tier's and from hearsay's first bytes
 VERSION = 1
-CHECK = 4
 DATAGRAM_MOST = 256  # bytes: the platform's bound
 _BODY = struct.Struct("!BBBB6s6sIIIQIQI")
 _AMOUNT_MOST = (1 << 63) - 1
@@ -34,7 +33,6 @@
     ASK = 1
     GIVEN = 2
     BACK = 3  # all that was held is given back
-    RECEIPT = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,15 +76,15 @@
         min(want, _AMOUNT_MOST),
         lease,
     )
-    return body + _check(body, key)
+    return sealed(body, key)
 
 
 def decode(data: bytes, key: bytes = b"") -> Envelope:
     """Read a word; raise BadWord where it is not whole and of this version."""
     if not _BODY.size + CHECK <= len(data) <= DATAGRAM_MOST or data[0] != MAGIC or data[1] != VERSION:
         raise BadWord("no word on a budget of this version")
-    body, check = data[:-CHECK], data[-CHECK:]
-    if not hmac.compare_digest(_check(body, key), check):
+    body = opened(data, key)
+    if body is None:
         raise BadWord("damaged, or of another key")
     _, _, kind, _, sender, life, budget, number, held, amount, burst, want, lease = _BODY.unpack_from(body)
     try:
@@ -98,7 +96,3 @@
     given = Given(number, part, lease * 1000) if known is Kind.GIVEN else None
     who, since = int.from_bytes(sender, "big"), int.from_bytes(life, "big")
     return Envelope(known, who, since, budget, ask, given)
-
-
-def _check(data: bytes, key: bytes) -> bytes:
-    return hashlib.blake2b(data, digest_size=CHECK, key=key).digest()
--- a/topazbank/operator.py
+++ b/topazbank/operator.py
@@ -34,7 +34,7 @@
 BUDGETS_MOST = 64
 AMOUNT_MOST = 10**9
 BUDGET_FIELDS = (
-    "kind", "of", "tenant", "whole", "burst", "floor", "members", "keepers", "lease_s", "silence_s", "drift_percent",
+    "of", "tenant", "whole", "burst", "floor", "members", "keepers", "lease_s", "silence_s", "drift_percent",
 )  # fmt: skip
 
 
@@ -231,17 +231,15 @@
 
 def _budget(name: str, given: Any) -> Budgeted:
     table = _Table(f"budgets.{name}.", given, BUDGET_FIELDS)
-    kind, of = table.text("kind", RATE), table.text("of", "")
+    of = table.text("of", "")
     if of not in (RETRIES, PROBES, TENANT):
         raise ValueError(f"budgets.{name}.of: {RETRIES}, {PROBES} or {TENANT} is wanted, not {of!r:.40}")
     tenant = table.text("tenant", "")
     if (of == TENANT) is not bool(tenant):
         raise ValueError(f"budgets.{name}.tenant: wanted of a tenant's budget, and of no other")
-    if kind != RATE:
-        raise ValueError(f"budgets.{name}.kind: of {of} {RATE} is wanted, not {kind!r:.40}")
     budget = Budget(
         name,
-        kind,
+        RATE,
         table.whole("whole", 0, 0, AMOUNT_MOST),
         table.whole("burst", 0, 0, AMOUNT_MOST),
         round(table.number("floor", 0.0, 0.0, float(AMOUNT_MOST)) * THOUSANDTHS),
--- a/topazbank/tier/wire.py
+++ b/topazbank/tier/wire.py
@@ -10,8 +10,6 @@
 
 from __future__ import annotations
 
-import hashlib
-import hmac
 import socket
 import struct
 from collections.abc import Sequence
@@ -19,11 +17,11 @@
 from enum import IntEnum
 
 from topazbank.core.net import Address
+from topazbank.core.seal import CHECK, opened, sealed
 from topazbank.tier.member import INCARNATION_MOST, Record, State
 
 MAGIC = 0xD7  # apart from the first byte of what `sight.hearsay` writes, which comes to the same address
 VERSION = 1
-CHECK = 4
 LEAST, MOST = 128, 1200  # bytes of a datagram that an operator may allow: one part of a digest still fits
 FANOUT = 16  # parts of a digest
 _HEAD = struct.Struct("!BBBB6s6sHIIQIH")
@@ -106,7 +104,7 @@
         data += _section(_PARTS_SECTION, packed)
     if message.want is not None:
         data += _section(_WANT_SECTION, _WANT.pack(*message.want))
-    return data + _check(data, key)
+    return sealed(data, key)
 
 
 def decode(data: bytes, key: bytes = b"") -> Message:
@@ -115,8 +113,8 @@
         raise BadMessage("no message of a tier")
     if data[1] != VERSION:
         raise BadMessage(f"version {data[1]}, not {VERSION}")
-    body, check = data[:-CHECK], data[-CHECK:]
-    if not hmac.compare_digest(_check(body, key), check):
+    body = opened(data, key)
+    if body is None:
         raise BadMessage("damaged, or of another key")
     _, _, kind, _, sender, life, incarnation, count, probe, target, digest, size = _HEAD.unpack_from(body)
     try:
@@ -128,10 +126,6 @@
     return Message(known, who, since, incarnation, count, probe, target, digest, size, news, parts, want)
 
 
-def _check(data: bytes, key: bytes) -> bytes:
-    return hashlib.blake2b(data, digest_size=CHECK, key=key).digest()
-
-
 def _section(kind: int, content: bytes) -> bytes:
     return _SECTION.pack(kind, len(content)) + content
 
