A silent watch is opened anew 0.3 s after its wait, not 1.8 to 2 s

What a silent watch misses counts as told 2 s after its wait, so 2.55 s are left until the last request may go. registry.py gave a watch up 1.5 s after its wait (_LATE_S), told the failure, and balancer.py (_ask_again_later) or driver.py (_PUSHED_AGAIN_S) waited 0.25 to 0.5 s more; then six sidecars that asked at one moment waited their turn. Ruled out: a late answer of a service that is well (108 waits that ran out were answered within 1 to 2 ms), junk entries, and sends after the list was taken (each wrong send came before its sidecar's answer).

Mend: 0.3 s, and the same task calls again at once, with a short wait (1 s in a small fleet) so that a second silence shows too; a connection to discovery that does not come up fails after 1.5 s; the agent of pushed lists is called again after 0.2 s, since what it has counts as told whether watched or not.

Test: a_silent_watch_is_opened_anew..., seen to fail without the mend (1.8 to 2.0 s).

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import pytest
@@ -11,6 +12,7 @@
 from topazbank.core.members import Told
 from topazbank.interface import ServerState
 from topazbank.membership.registry import _IDLE_S, Discovery, parse_list
+from topazbank.sight import asking
 from topazbank.sight.others import Others
 
 
@@ -148,6 +150,37 @@
     play(scene())
 
 
+@pytest.mark.parametrize("mode", ["on_request", "pushed"])
+@pytest.mark.parametrize("times", [1, 3])
+def test_a_silent_watch_is_opened_anew_while_there_is_time_for_its_answer(
+    mode: str, times: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # What it kept back counts as told 2 s after its wait, and the new call may have to wait its turn for one of them.
+    monkeypatch.setattr(asking, "WATCH_LEAST_S", 0.2)
+    monkeypatch.setattr(asking, "CHECK_LEAST_S", 0.2)
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        async with world(served, discovery=mode) as w:
+            await until(lambda: w.discovery.called(1))
+            for calls in range(1, times + 1):
+                silent_at = loop.time() + 0.2
+                await until(lambda: w.discovery.called(calls + 1))  # noqa: B023
+                assert loop.time() - silent_at < 1.0
+            w.discovery.answers.put_nowait(b"")  # goes to a call that was given up
+            for _ in range(times):
+                w.discovery.say(42, [w.servers[0].entry(status="leaving")])
+            await until(lambda: w.sidecar._balancer._servers["s-0"].state is ServerState.DRAINING)
+
+    play(scene())
+
+
+def test_the_watch_after_a_silent_one_is_short_unless_the_fleet_is_large() -> None:
+    assert asking.check_s(6) == asking.CHECK_LEAST_S
+    assert asking.check_s(200) == 10.0 < asking.watch_s(200)
+    assert asking.check_s(5000) == asking.watch_s(5000) == asking.WATCH_MOST_S
+
+
 @pytest.mark.usefixtures("each_pair")
 def test_pushed_lists_are_read_without_being_asked_for() -> None:
     async def scene() -> None:
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -69,7 +69,9 @@
 _DRAIN_STEP_S = 0.02  # how often a drain looks at what is left
 _LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
 _LAG_TOLD_S = 0.05  # and from when on it is logged
-_PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
+# Before a failed call to the agent that holds pushed lists is made again: what it has counts as told, watched or not,
+# so the call has to be through well within the shortest grace of a drain.
+_PUSHED_AGAIN_S = 0.2
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
 _FDS_KEPT = (
     48  # descriptors left for discovery, operators, logs and the runtime, of two processes in an upgrade
--- a/topazbank/membership/registry.py
+++ b/topazbank/membership/registry.py
@@ -20,7 +20,10 @@
 log = logging.getLogger(__name__)
 
 _PATH = "/registry/instances"
-_LATE_S = 1.5  # and what it may take beyond that: its news counts as told 2 s after the wait
+# And what it may take beyond that.  Its news counts as told 2 s after the wait, and most of that is for the next call,
+# which may have to wait its turn behind those of all others whose watches fell silent at the same moment.
+_LATE_S = 0.3
+_DIAL_S = 1.5  # for a connection to come up: the kernel asks once more after a second
 _CALL_S = 5.0  # what a call that does not wait may take
 _IDLE_S = 0.1  # between watches that come back at once with nothing, well within the 200 ms of one watch
 _LIST_MOST = 8 * 1024 * 1024
@@ -113,6 +116,7 @@
         self._stopped = False
         self._heard_at: float | None = None
         self._failed = False  # whether the last call was in vain
+        self._fell_silent = False  # and nothing came in its time
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[bool]] = set()  # as many as the balancer asks for, each for _CALL_S
 
@@ -153,29 +157,47 @@
             self._watch = None
 
     async def _keep_watch(self) -> None:
-        """Call again as soon as a call is answered: later than 200 ms it would be a new watch."""
+        """Call again as soon as a call is answered: later than 200 ms it would be a new watch.
+
+        So also after one that fell silent, and then for a short wait: what the silence kept back is late already, and a
+        service that is silent still is noticed after that.  Any other failed call ends the watch.
+        """
         loop = asyncio.get_running_loop()
+        silent = False
         while True:
             began, version = loop.time(), self._version
             if version is None:
                 heard = await self._ask(_PATH, _CALL_S)
             else:
-                spread = 1.0 - asking.SPREAD * self._random.random()
-                wait_s = max(asking.watch_s(self._others.most) * spread, asking.WATCH_LEAST_S)
+                wait_s = self._wait_s(silent)
                 target = f"{_PATH}?after={version}&wait_ms={int(wait_s * 1000)}"
                 heard = await self._ask(target, wait_s + _LATE_S)
+            silent = not heard and version is not None and self._fell_silent
+            if silent:
+                continue
             if not heard:
                 return
             if self._version == version and loop.time() < began + _IDLE_S:
                 await asyncio.sleep(_IDLE_S)  # guards against spinning on a service that does not wait
 
+    def _wait_s(self, silent: bool) -> float:
+        """How long the next watch may wait; `silent`: whether the one before it was."""
+        if silent:
+            return asking.check_s(self._others.most)
+        spread = 1.0 - asking.SPREAD * self._random.random()
+        return max(asking.watch_s(self._others.most) * spread, asking.WATCH_LEAST_S)
+
     async def _ask(self, target: str, limit_s: float) -> bool:
         told: Told | None = None
+        self._fell_silent = False
         try:
             async with asyncio.timeout(limit_s):
                 told = self._read(await self._call(target))
                 self._version = told.version
-        except (OSError, ValueError, TimeoutError) as fault:
+        except TimeoutError:
+            self._fell_silent = True
+            log.warning("discovery: no answer in %.1f s", limit_s)
+        except (OSError, ValueError) as fault:
             log.warning("discovery: %s", fault or type(fault).__name__)
         self._failed = told is None
         if told is not None:
@@ -192,12 +214,20 @@
         return parse_list(json.loads(response.body))
 
     async def _call(self, target: str) -> HttpResponse | None:
-        connection = await connect(self._address, _LIST_MOST)
+        connection = await self._dial()
         try:
             return await self._exchange(connection, target)
         finally:
             connection.abort()
 
+    async def _dial(self) -> Connection:
+        """Unlike a silent watch, a connection that does not come up has kept nothing back: its call has failed."""
+        try:
+            async with asyncio.timeout(_DIAL_S):
+                return await connect(self._address, _LIST_MOST)
+        except TimeoutError:
+            raise ConnectionError("no connection comes up") from None
+
     async def _exchange(self, connection: Connection, target: str) -> HttpResponse | None:
         answer: asyncio.Future[HttpResponse | None] = asyncio.get_running_loop().create_future()
         host = f"{self._address[0]}:{self._address[1]}".encode()
--- a/topazbank/sight/asking.py
+++ b/topazbank/sight/asking.py
@@ -6,6 +6,8 @@
 MOST = 0.25  # the longest wait, of the time allowed without asking: three failed calls still fit
 LAST = 0.8  # or this in a fleet so large that all asking so often would keep the registry down
 WATCH_LEAST_S = 8.0  # how long a watch may wait: a service that fell silent is noticed after it
+CHECK_LEAST_S = 1.0  # how long the watch after a silent one may wait: its own silence is noticed after it
+CHECKS_A_SECOND = 20.0  # of those, of the whole fleet, if all are in vain
 WATCH_MOST_S = 60.0  # by the platform
 WATCHES_A_SECOND = 5.0  # that run out, of the whole fleet: as many calls as one registry answers by the way
 SPREAD = 0.25  # part of a longer wait that is chance: sidecars that began together do not go on so
@@ -33,3 +35,8 @@
     A longer wait harms where the registry falls silent without a word, which is noticed after it.
     """
     return max(WATCH_LEAST_S, min(sidecars / WATCHES_A_SECOND, WATCH_MOST_S))
+
+
+def check_s(sidecars: int) -> float:
+    """How long the watch that follows a silent one may wait, seconds: short, where the fleet is small enough."""
+    return min(max(CHECK_LEAST_S, sidecars / CHECKS_A_SECOND), watch_s(sidecars))
