A request whose client has left unseen is not sent on, from wherever it waits

Cause, by reading: a front that bounds what comes stops reading its connection (http/front.py _look_ahead, msgpackrpc/front.py _go_on), and asyncio then reports neither an end nor a reset. The request held there, or behind it, was sent on, sent again after a turned-away attempt, taken from the module's queue or written at the end of a slow dial, for nobody.

Mend: before a request goes out (driver._send, and the carriers when a dial has come up) the kernel is asked whether the client's connection still stands; if not the call is over and its connection ends.

Ruled out without it: an end behind a held request whose connection is read, one before a further attempt, one at the end of a dial that is read.

--- a/topazbank/core/call.py
+++ b/topazbank/core/call.py
@@ -56,6 +56,10 @@
 FAILED = Answer(Verdict.FAILED)
 
 
+def _is_here() -> bool:
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class Call:
     """A client's request, whatever it came in; it is answered once."""
@@ -78,6 +82,7 @@
     )
     large: Large | None = None  # a body over BODY_MOST, in place of `body`
     streams: bool = False  # whether its front can pass on an answer that has only begun
+    has_left: Callable[[], bool] = _is_here  # whether its client has gone, be that end read already or not
 
     def release(self) -> None:
         """Nothing is sent for it any more."""
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -512,6 +512,8 @@
 
     def _send(self, action: Send) -> None:
         live = self._live.get(action.request)
+        if live is not None and not live.answered and live.call.has_left():
+            self._gone([live.call])
         index = live.sent if live is not None else 0
         if live is None or live.answered:
             if live is not None:
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -104,6 +104,18 @@
         """Whether it may be closed: no request is held, begun or waiting unread."""
         return self.phase in _CLOSABLE and self.is_quiet()
 
+    def has_left(self) -> bool:
+        """Whether its client has gone: asked of the kernel, as nothing may be read for now (what came is bounded).
+
+        Guards against sending on what nobody waits for.  The connection ends then, with all that it still holds.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return True
+        if not has_ended(self._sock):
+            return False
+        self.abort()
+        return True
+
     def close(self) -> None:
         if self._transport is not None:
             self._transport.close()
--- a/topazbank/core/nodes.py
+++ b/topazbank/core/nodes.py
@@ -46,6 +46,11 @@
             None  # hears of an answer that is passed on as it comes
         )
         self.timers: list[Timer] = []
+        self.call: Call | None = None  # of an attempt; a probe has none
+
+    def has_no_client(self) -> bool:
+        """Whether its client has left since it was sent on its way: it is not to be written any more."""
+        return self.call is not None and self.call.has_left()
 
     def begin(self, response: Response) -> None:
         """A large answer has begun: it is its client's now, and no longer bounded by the attempt's time."""
--- a/topazbank/http/front.py
+++ b/topazbank/http/front.py
@@ -317,6 +317,7 @@
             call = parse_call(head, body, self._frontend.rules, self._answer_call)
             if self._frontend.hooks.is_out(call.ident):
                 raise BadCall(409, "x-call-id is that of another request, which is still out")
+            call.has_left = self.has_left
             self._call = call
             self._frontend.move(self, Phase.OPEN)
             self._frontend.hooks.taken(call)
--- a/topazbank/http/upstream.py
+++ b/topazbank/http/upstream.py
@@ -48,7 +48,6 @@
         self.pool: Pool = endpoint.pool
         self.order = order
         self.probing = False
-        self.call: Call | None = None  # of an attempt; a probe has none
         self.report: Mapping[str, float] | None = None  # of an answer that is passed on as it comes
         self.connection: Connection | None = None
         self.dial: asyncio.Task[bool] | None = None
@@ -237,6 +236,9 @@
             exchange.end(Outcome.DIAL_FAILED)
             return False
         connection.on_lost = self._slots.give
+        if exchange.ended is not None and exchange.has_no_client():
+            exchange.dial = None  # it is this task, which has done its work
+            exchange.end(Outcome.UNSENT)
         if exchange.ended is None:
             connection.abort()
         else:
--- a/topazbank/msgpackrpc/front.py
+++ b/topazbank/msgpackrpc/front.py
@@ -183,6 +183,7 @@
             self._write(write_rejection(msgid, bad))
             return
         self._used = True
+        call.has_left = self.has_left
         self._calls[msgid] = call
         try:
             self._frontend.hooks.taken(call)
--- a/topazbank/msgpackrpc/upstream.py
+++ b/topazbank/msgpackrpc/upstream.py
@@ -149,6 +149,10 @@
             transport is not None and self._writing is None and self._waiting and not transport.is_closing()
         ):
             attempt = self._waiting.popleft()
+            if attempt.has_no_client():
+                attempt.connection = None
+                attempt.end(Outcome.UNSENT)
+                continue
             left = max(attempt.until - asyncio.get_running_loop().time(), 0.0)
             self._writing = attempt
             attempt.msgid = self._new_msgid()
@@ -357,6 +361,7 @@
         order: Order = lambda msgid, left: write_call(msgid, call, left)  # noqa: E731
         lodge = call.kind.repeat is Repeat.UNSAFE
         attempt = RpcAttempt(endpoint, order, until, ended, lodge, last)
+        attempt.call = call
         if call.large is not None:
             attempt.end(Outcome.UNSENT)  # larger than a message may be: nodes that speak HTTP may take it
             return attempt
