Where connections are priced, busy reported cores shrink the window at once

Mend: where the settings price new connections, cores reported past CORES_BUSY count as overload by as much as they are past it, from the start and while all is in time.

Test: fails without the mend (seen).

--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 import pytest
-from helpers import MS, S, Stage, names, settings
+from helpers import MS, SAFE, S, Stage, names, settings
 
 from topazbank.balancer import Server
 from topazbank.interface import (
@@ -837,3 +837,22 @@
         stage.wait(200 * MS)
         stage.end(request, Outcome.DROPPED)
     assert stage.said(Refuse) == [] and len(stage.said(Fail)) == 12
+
+
+@pytest.mark.parametrize(("handshake", "most"), [(0.05, 40), (0.0, None)])
+def test_where_connections_are_priced_busy_cores_bound_what_is_sent_before_any_answer_is_late(
+    handshake: float, most: int | None
+) -> None:
+    # Long aims tell of a jam after seconds, and by then all that waits has opened connections of its own.
+    aims = {"aim_us": 5 * S, "deadline_us": 20 * S}
+    stage = Stage(settings(classes=[SAFE | aims], prices={"handshake": handshake}))
+    stage.servers(names(4))
+    held: list[int] = []
+    for step in range(300):
+        stage.wait(10 * MS)
+        request = stage.request(remaining_us=20 * S)
+        if stage.sends(request):
+            held.append(request)
+        if step % 6 == 5 and held:  # what comes is six times what is served
+            stage.end(held.pop(0), report={"util": 1.0})
+    assert len(held) <= most if most is not None else len(held) > 200
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -84,9 +84,7 @@
 COLD_SHARE = 0.4  # part of the pushing-over load at which a cold budget fills: about what its warmth can bear
 COLD_BURST = 0.18  # part of that load that may come at once
 COLD_ODDS = 2.0  # drawn by this many times its least warmth: it is mostly warmer, and its budget guards it
-FRESH_COST = (
-    1.5  # where opening one is priced, a server without a connection counts as slower by this in ties
-)
+FRESH_COST = 1.5  # where connections are priced, a server without one counts as slower by this in ties
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 CROSS_GAIN = 2.0  # a crossing must spare this many times its price, in parts of the aim
@@ -568,14 +566,16 @@
     def _size_window(self, load: int) -> None:
         """Shrink or grow the window by how far the typical answer is from the allowed level.
 
-        In flight is what the window bounds, not arrivals: a surge then meets it at once, and slower servers
-        let in less by themselves.  By Little's law, what is answered at this rate within the allowed level
-        needs rate times time in flight; below that the window never shrinks, or late news would shut it.
+        In flight is what the window bounds, not arrivals: a surge meets it at once.  By Little's law, what is answered
+        at this rate within the level needs rate times time in flight; below that, late news would shut the window.
         """
         strain = self._strain
         if self._probes > 1:
             return  # probes tell
-        if self._now < self._sized_from and strain.late < 10 * LATE_ALLOWED and not strain.is_plain():
+        over = -1.0 if strain.cores is None else (strain.cores - CORES_BUSY) / (1.0 - CORES_BUSY)
+        dear = self._connecting > 0.0 and over > 0.0  # what is too much costs connections on top
+        young = self._now < self._sized_from and strain.late < 10 * LATE_ALLOWED
+        if young and not strain.is_plain() and not dear:
             return  # every connection is new, the rates are not full: less than half late may be chance
         stretch = self._stretch()
         lapse = min(self._now - self._sized_at, stretch * self._longest_aim / 4)
@@ -586,9 +586,9 @@
             # Late answers from servers with idle cores tell of a few slow ones, of broken connections or of
             # this balancer's own lag, not of too many requests: refusing would only bring clients back.
             # Harm: overload that cores don't show.  Else a busy balancer goes by answers, which come sooner.
-            excess = min(excess, (strain.cores - CORES_BUSY) / (1.0 - CORES_BUSY))
-        excess = max(-1.0, min(excess, 1.0))
-        saturated = (strain.cores is not None and strain.cores >= CORES_SATURATED) or strain.is_plain()
+            excess = min(excess, over)
+        excess = max(over if dear else -1.0, min(excess, 1.0))
+        saturated = dear or (strain.cores or 0.0) >= CORES_SATURATED or strain.is_plain()
         if excess > 0.0 and strain.late < LATE_ALLOWED and not saturated:
             return  # slower than usual, yet in time
         if excess > 0.0:
