No connection is reused unrested for lack of room; an early SIGHUP is kept

Found by reading. http/upstream.py _start took an idle connection that had not rested where no descriptor was left: a node's second answer, some milliseconds late, then answered the next request there. Now such a connection makes room for a new one like any other. The test that asked for the reuse is replaced by one that asks for the rest and for the bound alike.

__main__.py ignored SIGHUP until the program ran: one that came after the configuration was read, and before, left the sidecar at discovery's old place. It is kept now and followed as soon as there is something to move.

Tests: a second answer in a full sidecar, and a SIGHUP while the configuration comes through a pipe; both seen to fail without the mends.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -240,14 +240,37 @@
 
 
 @pytest.mark.usefixtures("each_client")
-def test_a_connection_rests_before_it_is_used_again_unless_there_is_no_room_for_another() -> None:
+def test_a_connection_rests_before_it_is_used_again_and_makes_room_where_there_is_none() -> None:
     # Guards against an end or a second copy that is under way behind the answer.
     async def scene() -> None:
         limits = LIMITS | {"dial_timeout_us": 600 * S}
         async with world(served, sockets=56, limits=limits) as w:
             for _ in range(9):
                 assert (await w.ask())[0] == 200
-            assert len(w.servers[0].writers) == 4  # all that the descriptors allow
+            assert len(w.servers[0].writers) == 9
+            await until(lambda: w.servers[0].closed == 5)
+            assert w.sidecar._nodes.slots.open == 4  # all that the descriptors allow
+
+    play(scene())
+
+
+def test_a_late_second_answer_never_answers_the_next_request_though_there_is_no_room() -> None:
+    async def scene() -> None:
+        def first_only(_: str, head: dict[str, str], body: bytes) -> bytes | None:
+            return answer(200, b"first") if head["x-call-id"] == "first" else None
+
+        limits = LIMITS | {"dial_timeout_us": 600 * S}
+        async with world(first_only, sockets=50, limits=limits) as w:
+            assert (await w.ask(X_Call_Id="first"))[2] == b"first"
+            one = await client(w.sidecar.frontend.address)
+            one.send(request("pay", body=b"x", X_Call_Id="second"))
+            await until(lambda: len(w.sent()) == 2)
+            used = w.servers[0].writers
+            used[0].write(answer(200, b"first"))
+            await asyncio.sleep(0.05)
+            used[-1].write(answer(200, b"second"))
+            assert (await one.answer())[2] == b"second"
+            one.close()
 
     play(scene())
 
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -55,6 +55,10 @@
 
 async def launch(path: Path, given: object) -> asyncio.subprocess.Process:
     path.write_text(given if isinstance(given, str) else json.dumps(given), encoding="utf-8")
+    return await launch_at(path)
+
+
+async def launch_at(path: Path) -> asyncio.subprocess.Process:
     environ = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
     return await asyncio.create_subprocess_exec(
         sys.executable,
@@ -227,6 +231,37 @@
     play(scene())
 
 
+def test_a_sighup_while_the_configuration_is_read_is_not_lost(tmp_path: Path) -> None:
+    async def scene() -> None:
+        old, new = FakeDiscovery(), FakeDiscovery()
+        await old.start()
+        await new.start()
+        (listen,) = free(own_host(), 1)
+        path, pipe = tmp_path / "config.json", tmp_path / "config.pipe"
+        os.mkfifo(pipe)
+        path.symlink_to(pipe)
+        places = [
+            json.dumps(config(listen="{}:{}".format(*listen), discovery="{}:{}".format(*each.address)))
+            for each in (old, new)
+        ]
+        process = await launch_at(path)
+        writer = await asyncio.to_thread(open, pipe, "w")  # it is open once the program reads
+        path.unlink()
+        path.write_text(places[1], encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        writer.write(places[0])
+        writer.close()
+        await until(lambda: new.targets)
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
+        await process.communicate()
+        old.stop()
+        new.stop()
+
+    play(scene())
+
+
 @pytest.mark.usefixtures("each_pair")
 def test_on_sighup_discovery_is_asked_at_its_new_place_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     async def scene() -> None:
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -14,6 +14,7 @@
 import signal
 import sys
 from collections.abc import Sequence
+from types import FrameType
 
 from topazbank.config import BAD_CONFIG, check_tier, read_config
 from topazbank.core.driver import Config, Sidecar, Wiring
@@ -52,7 +53,19 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler])
 
 
-async def serve(config: Config, operator: Operator, operator_file: str | None, wiring: Wiring) -> None:
+class Early:
+    """SIGHUP before there is anything to move: kept until there is, as the files may have been read before it came."""
+
+    def __init__(self) -> None:
+        self.came = False
+
+    def note(self, number: int, frame: FrameType | None) -> None:
+        self.came = True
+
+
+async def serve(
+    config: Config, operator: Operator, operator_file: str | None, wiring: Wiring, early: Early
+) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
@@ -60,6 +73,8 @@
     service = Service(config, wiring)
     running = Running(service.sidecar, operator, operator_file)
     loop.add_signal_handler(signal.SIGHUP, running.reread)
+    if early.came:
+        loop.call_soon(running.reread)
     await service.run(stop)
 
 
@@ -98,7 +113,8 @@
     )
     given = parser.parse_args(argv)
     start_log()
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to move
+    early = Early()
+    signal.signal(signal.SIGHUP, early.note)
     try:
         operator = read_operator(given.operator)
         config = read_config(os.environ)
@@ -110,7 +126,7 @@
     gc.freeze()  # what is loaded by now stays; collections look at requests alone
     gc.set_threshold(*_COLLECTED)
     try:
-        asyncio.run(serve(config, operator, given.operator, wiring))
+        asyncio.run(serve(config, operator, given.operator, wiring, early))
     except OSError as fault:
         print(f"can't serve: {fault}", file=sys.stderr)
         return 1
--- a/topazbank/http/upstream.py
+++ b/topazbank/http/upstream.py
@@ -158,9 +158,7 @@
             exchange.end(Outcome.UNSENT)
             return exchange
         exchange.timers.append(self._timers.at(exchange.until, self._time_up, exchange))
-        connection = self._take_idle(exchange.pool, self._rest_s)
-        if connection is None and self._slots.is_full():
-            connection = self._take_idle(exchange.pool, 0.0)  # no room for another
+        connection = self._take_idle(exchange.pool)
         if connection is not None:
             self._write(exchange, connection)
         elif self._slots.take():
@@ -196,13 +194,13 @@
         if exchange.connection is None and not is_up(sock):
             exchange.end(Outcome.DIAL_FAILED)
 
-    def _take_idle(self, pool: Pool, rest_s: float) -> Connection | None:
-        """The last used of those that have rested.
+    def _take_idle(self, pool: Pool) -> Connection | None:
+        """The last used of those that have rested; others make room for a new one, however little room there is.
 
         What a server does to a connection after its answer, an end or more bytes, is under way for as long as
         the network takes; what is written meanwhile may have run and would be lost, or get another's answer.
         """
-        closed_by = asyncio.get_running_loop().time() + self._idle_s - rest_s
+        closed_by = asyncio.get_running_loop().time() + self._idle_s - self._rest_s
         for index in reversed(range(len(pool.idle))):
             connection, timer = pool.idle[index]
             if timer.when() > closed_by:
