--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -9,7 +9,8 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import AsyncIterator, Callable, Coroutine
+import socket
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -195,6 +196,28 @@
         self.answers.put_nowait(answer(200, json.dumps(told).encode()))
 
 
+@contextlib.contextmanager
+def full() -> Iterator[tuple[socket.socket, list[socket.socket]]]:
+    """A listener whose queue is full, and what fills it: a dial comes up only once that is taken."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    fillers = [socket.socket() for _ in range(8)]
+    for each in fillers:
+        each.setblocking(False)
+        each.connect_ex(listener.getsockname())
+    try:
+        yield listener, fillers
+    finally:
+        for each in (*fillers, listener):
+            each.close()
+
+
+@contextlib.contextmanager
+def deaf() -> Iterator[Address]:
+    """Where connections never come up."""
+    with full() as (listener, _):
+        yield listener.getsockname()[:2]
+
+
 class World:
     """A sidecar in this process, with its servers and discovery."""
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 import time
-from collections.abc import Iterator
 
 import pytest
 from helpers import S, settings
@@ -17,6 +15,7 @@
     answer,
     ask,
     client,
+    deaf,
     pair,
     play,
     request,
@@ -403,23 +402,6 @@
     play(scene())
 
 
-@contextlib.contextmanager
-def deaf() -> Iterator[Address]:
-    """A listener whose queue is full: connections to it never come up."""
-    listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
-    listener.listen(0)
-    fillers = [socket.socket() for _ in range(8)]
-    for each in fillers:
-        each.setblocking(False)
-        each.connect_ex(listener.getsockname())
-    try:
-        yield listener.getsockname()[:2]
-    finally:
-        for each in (*fillers, listener):
-            each.close()
-
-
 @pytest.mark.parametrize(("dial_limit", "seconds"), [(0.1, 30.0), (30.0, 0.1)])
 @pytest.mark.usefixtures("each_node")
 def test_a_dial_ends_at_its_own_limit_and_at_the_end_of_the_attempt(
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,10 +7,11 @@
 
 import pytest
 from helpers import S
-from loopback import FakeDiscovery, answer, play, until, world
+from loopback import FakeDiscovery, answer, deaf, play, until, world
 
 from topazbank.core.members import Told
 from topazbank.interface import ServerState
+from topazbank.membership import registry
 from topazbank.membership.registry import _IDLE_S, Discovery, parse_list
 from topazbank.sight import asking
 from topazbank.sight.others import Others
@@ -112,6 +113,53 @@
     play(scene())
 
 
+def test_what_the_former_place_answers_after_a_move_is_not_taken() -> None:
+    # A lower version may be right there, so the order of news is kept by asking one place at a time.
+    async def scene() -> None:
+        old, new = FakeDiscovery(), FakeDiscovery()
+        await old.start()
+        await new.start()
+        heard: list[Told | None] = []
+        discovery = Discovery(old.address, 41, heard.append)
+        discovery.follow(True)
+        discovery.fetch()
+        await until(lambda: old.called(2))
+        for _ in range(2):
+            old.say(42, [entry()], snapshot=True)
+        discovery.move(new.address)  # before the loop has had a turn: both answers are on their way
+        await until(lambda: new.called(1))
+        discovery.move(new.address)  # a second one during the first
+        await until(lambda: new.called(2))
+        for _ in range(2):  # one of them goes to a call that was given up
+            new.say(7, [entry(status="leaving")], snapshot=True)
+        await until(lambda: heard)
+        assert [told and told.version for told in heard] == [7]
+        discovery.stop()
+        discovery.follow(True)
+        discovery.move(old.address)
+        assert discovery._watch is None
+        old.stop()
+        new.stop()
+
+    play(scene())
+
+
+def test_a_connection_to_discovery_that_does_not_come_up_is_a_failed_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(registry, "_DIAL_S", 0.1)
+
+    async def scene() -> None:
+        with deaf() as address:
+            heard: list[Told | None] = []
+            discovery = Discovery(address, 1, heard.append)
+            discovery.follow(True)
+            await until(lambda: heard == [None])
+            await until(lambda: discovery._watch is not None and discovery._watch.done())
+
+    play(scene())
+
+
 def test_a_watch_under_way_is_not_doubled_and_can_be_ended() -> None:
     async def scene() -> None:
         service = FakeDiscovery()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,11 +5,11 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import pytest
 from helpers import KEYED, SAFE, UNSAFE, S
-from loopback import Client, World, answer, client, pair, play, request, until, world
+from loopback import Client, World, answer, client, full, pair, play, request, until, world
 
 from standins.wire import HTTP, reset
 from topazbank.core.call import BODY_MOST
@@ -79,32 +79,22 @@
 
 
 @pytest.mark.usefixtures("each_pair")
-def test_a_request_behind_an_answered_one_is_not_sent_for_a_client_that_left_unseen(
-    leave: Leave, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("unseen", [False, True])
+def test_a_request_behind_another_is_not_sent_for_a_client_that_left(
+    unseen: bool, leave: Leave, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(rpc_front, "CALLS_MOST", 1)
 
     async def scene() -> None:
         async with world(silent) as w:
             one = await client(w.sidecar.frontend.address)
-            await held_unread(w, one)
-            leave(one)
-            await asyncio.sleep(0.05)
-            w.servers[0].answer_held(answer(200, b"done"))
-            await none_more(w, 1)
-
-    play(scene())
-
-
-@pytest.mark.usefixtures("each_pair")
-def test_a_request_behind_a_held_one_is_not_sent_for_a_client_that_left(leave: Leave) -> None:
-    async def scene() -> None:
-        async with world(silent) as w:
-            one = await client(w.sidecar.frontend.address)
-            one.send(request("pay", body=b"x"))
-            await until(w.sent)
-            if pair().client == HTTP:  # over the other protocol it would not wait
-                one.send(request("pay", body=b"y", X_Call_Id="behind"))
+            if unseen:
+                await held_unread(w, one)
+            else:
+                one.send(request("pay", body=b"x"))
+                await until(w.sent)
+                if pair().client == HTTP:  # over the other protocol it would not be read further
+                    one.send(request("pay", body=b"y", X_Call_Id="behind"))
             leave(one)
             await asyncio.sleep(0.05)
             w.servers[0].answer_held(answer(200, b"done"))
@@ -132,24 +122,6 @@
     play(scene())
 
 
-@contextlib.contextmanager
-def gate() -> Iterator[tuple[socket.socket, list[socket.socket]]]:
-    """A listener whose queue is full: a dial comes up only once what fills it is taken."""
-    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
-    fillers = []
-    for _ in range(3):
-        filler = socket.socket()
-        filler.setblocking(False)
-        with contextlib.suppress(BlockingIOError):
-            filler.connect(listener.getsockname())
-        fillers.append(filler)
-    try:
-        yield listener, fillers
-    finally:
-        for each in (*fillers, listener):
-            each.close()
-
-
 @pytest.mark.usefixtures("each_pair")
 @pytest.mark.parametrize("unread", [False, True])
 def test_nothing_is_written_at_the_end_of_a_slow_dial_for_a_client_that_left(
@@ -157,7 +129,7 @@
 ) -> None:
     async def scene() -> None:
         limits = {"max_attempts": 3, "may_cancel": True, "dial_timeout_us": 60 * S}
-        with gate() as (listener, fillers):
+        with full() as (listener, fillers):
             async with world(silent, limits=limits) as w:
                 address = listener.getsockname()
                 w.sidecar._nodes.update("s-0", address, None, ServerState.READY, pair().nodes)
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -131,9 +131,9 @@
 
 @contextlib.asynccontextmanager
 async def program(
-    tmp_path: Path, server: FakeServer, discovery: FakeDiscovery | None = None
+    tmp_path: Path, server: FakeServer, discovery: FakeDiscovery | None = None, **changes: Any
 ) -> AsyncIterator[tuple[Any, Address]]:
-    """The program, ready, with one server behind it."""
+    """The program, ready, with one server behind it; `changes` of its configuration."""
     discovery = discovery or FakeDiscovery()
     await discovery.start()
     await server.start()
@@ -141,7 +141,8 @@
     where = "{}:{}".format(*discovery.address)
     (listen,) = free(own_host(), 1)  # port 0 is no address to be told
     process = await launch(
-        tmp_path / "config.json", config(listen="{}:{}".format(*listen), discovery=where, known=known)
+        tmp_path / "config.json",
+        config(listen="{}:{}".format(*listen), discovery=where, known=known, **changes),
     )
     try:
         async with asyncio.timeout(PATIENCE_S):
@@ -184,6 +185,25 @@
     play(scene())
 
 
+def test_signals_that_come_again_or_while_it_ends_change_nothing(tmp_path: Path) -> None:
+    async def scene() -> None:
+        server = FakeServer("s-0", lambda *_: None)
+        async with program(tmp_path, server) as (process, listen):
+            holding = await client(listen)
+            holding.send(request("pay", body=b"x"))
+            await until(lambda: server.requests)
+            for each in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                process.send_signal(each)
+                await asyncio.sleep(0.02)
+            server.answer_held(answer(200, b"held"))
+            assert (await holding.answer())[::2] == (200, b"held")
+            assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
+            assert len(server.requests) == 1
+            holding.close()
+
+    play(scene())
+
+
 @pytest.mark.usefixtures("each_pair")
 def test_after_sigterm_a_request_that_never_ends_is_failed_in_time(tmp_path: Path) -> None:
     async def scene() -> None:
--- a/tests/test_other_deployments.py
+++ b/tests/test_other_deployments.py
@@ -4,7 +4,6 @@
 
 import ast
 import asyncio
-import contextlib
 import re
 import signal
 import tomllib
@@ -12,10 +11,8 @@
 from typing import Any
 
 import pytest
-from loopback import PATIENCE_S, FakeDiscovery, FakeServer, answer, ask, play, request
-from test_life import launch
-
-from standins.ports import free, own_host
+from loopback import PATIENCE_S, FakeServer, answer, ask, play, request
+from test_life import program
 
 ROOT = Path(__file__).parent.parent
 SITES = sorted((ROOT / "deploy/sites").glob("*.toml"))
@@ -98,28 +95,8 @@
     site = read(path)
 
     async def scene() -> None:
-        server, discovery = FakeServer("s-0", lambda *_: answer(200, b"served")), FakeDiscovery()
-        await server.start()
-        await discovery.start()
-        (listen,) = free(own_host(), 1)
-        process = await launch(
-            tmp_path / "config.json",
-            {
-                "name": "n0",
-                "seed": "8c1f",
-                "listen": "{}:{}".format(*listen),
-                "discovery": "{}:{}".format(*discovery.address),
-                "known": {"index": 1, "snapshot": True, "endpoints": [server.entry()]},
-                "settings": settings_of(site),
-            },
-        )
-        try:
-            async with asyncio.timeout(PATIENCE_S):
-                while True:
-                    with contextlib.suppress(OSError):
-                        if (await ask(listen, request(path="/health/ready")))[0] == 200:
-                            break
-                    await asyncio.sleep(0.02)
+        server = FakeServer("s-0", lambda *_: answer(200, b"served"))
+        async with program(tmp_path, server, settings=settings_of(site)) as (process, listen):
             for number, each in enumerate(site["class"]):
                 one = request(
                     each["name"],
@@ -135,12 +112,6 @@
             assert ids == [f"id-{number}" for number in range(len(site["class"]))]
             process.send_signal(signal.SIGTERM)
             assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
-        finally:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
-            await process.communicate()
-            server.stop()
-            discovery.stop()
 
     play(scene())
 
