A junk list is a failed call, not the watch's end; a leaving server is heard

Found by reading, for the suspects "a list that can't be read" and "junk entries". registry.py _ask caught OSError and ValueError alone: a list of 100,000 open brackets raised RecursionError, a weight of 10**400 OverflowError (also out of parse_list, which then lost the whole list). The watch's task ended with it, and _told was never called: where lists are pushed nothing begins another, and no drain is heard for the rest of the process's life. An entry "leaving" with junk in any other field was skipped whole, and its server stayed in use.

Mend: a list that can't be read, whatever that raises, is a failed call; of an entry that leaves the name and status are enough; numbers are bounded, and a text that no UTF-8 can hold is junk (it would have failed the module's whole list). Ruled out: bad UTF-8, numbers of 5,000 digits (ValueError, caught before).

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -256,6 +256,11 @@
         entry(weight=float("nan")),
         entry(since_ms=-1),
         entry(status=[]),
+        entry(weight=10**400),
+        entry(since_ms=10**400),
+        entry(group=10**400),
+        entry(name="\ud800"),
+        entry(zone="\ud800"),
     ]
     told = parse_list({"index": 5, "snapshot": True, "endpoints": [*junk, entry(since_ms=2, group=3)]})
     assert [each.server.server for each in told.lines] == ["s-1"]
@@ -279,6 +284,48 @@
     assert told.lines[0].server.state is state
 
 
+@pytest.mark.parametrize(
+    "junk",
+    [
+        {"weight": 10**400},
+        {"weight": None},
+        {"since_ms": "long ago"},
+        {"group": None},
+        {"zone": 7},
+        {"type": []},
+        {"protocol": 3},
+    ],
+)
+@pytest.mark.parametrize("status", ["leaving", "left"])
+def test_that_a_server_leaves_is_heard_whatever_else_is_junk_in_its_entry(
+    status: str, junk: dict[str, Any]
+) -> None:
+    # Guards rule 3, as above.
+    (line,) = parse_list({"index": 5, "endpoints": [entry(status=status, **junk)]}).lines
+    assert line.server.server == "s-1" and line.server.state is not ServerState.READY
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"[" * 100_000,
+        b'{"index": 42, "endpoints": [' + b"[" * 100_000,
+        b'{"index": 42, "snapshot": true, "endpoints": [{"name": "s-0", "weight": 1' + b"0" * 5000 + b"}]}",
+        b'{"index": 1' + b"0" * 5000 + b', "endpoints": []}',
+        b'{"index": 42, "endpoints": "\xff"}',
+    ],
+)
+def test_a_list_that_can_t_be_read_is_a_failed_call_and_the_next_is_taken(bad: bytes) -> None:
+    # Guards against a watch that ends without a word: where lists are pushed nothing would begin another.
+    async def scene() -> None:
+        async with world(served, discovery="pushed") as w:
+            w.discovery.answers.put_nowait(answer(200, bad))
+            w.discovery.say(42, [w.servers[0].entry(status="leaving")])
+            await until(lambda: w.sidecar._balancer._servers["s-0"].state is ServerState.DRAINING)
+
+    play(scene())
+
+
 @pytest.mark.usefixtures("each_pair")
 def test_a_new_server_at_a_former_one_s_address_takes_its_place() -> None:
     # The list may name the former one for seconds yet: what is sent to it would go to the new process, which
--- a/topazbank/membership/registry.py
+++ b/topazbank/membership/registry.py
@@ -27,6 +27,8 @@
 _CALL_S = 5.0  # what a call that does not wait may take
 _IDLE_S = 0.1  # between watches that come back at once with nothing, well within the 200 ms of one watch
 _LIST_MOST = 8 * 1024 * 1024
+_WHOLE_MOST = 2**52  # of a whole number in the list: in microseconds it must fit 64 bits
+_JUNK = (ValueError, TypeError, KeyError, AttributeError, OverflowError)  # what reading an entry may raise
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 
@@ -41,30 +43,49 @@
     for entry in given["endpoints"]:
         try:
             lines.append(_listed(entry))
-        except (ValueError, TypeError, KeyError, AttributeError) as junk:
+        except _JUNK as junk:
             log.warning("list entry skipped: %r: %.120r", junk, entry)
     return Told(version, given.get("snapshot") is True, lines)
 
 
 def _listed(entry: Mapping[str, Any]) -> Listed:
-    name, zone, kind = entry["name"], entry.get("zone", ""), entry.get("type", "")
+    name = entry["name"]
+    if not _is_text(name) or not name:
+        raise ValueError("name must be a text")
+    # A status that is not known here takes nothing new.
+    state = _STATES.get(entry["status"], ServerState.DRAINING)
+    try:
+        return _described(entry, name, state)
+    except _JUNK as junk:
+        if state is ServerState.READY:
+            raise
+        # Guards a drain: skipped, the entry would leave its server in use.
+        log.warning("of a list entry only the status is taken: %r: %.120r", junk, entry)
+        return Listed(ListedServer(name, state=state), None, None)
+
+
+def _described(entry: Mapping[str, Any], name: str, state: ServerState) -> Listed:
+    zone, kind, protocol = entry.get("zone", ""), entry.get("type", ""), entry.get("protocol")
     group, weight, since_ms = entry.get("group", 0), entry.get("weight", 1.0), entry.get("since_ms", 0)
-    if not all(isinstance(each, str) for each in (name, zone, kind)) or not name:
-        raise ValueError("name, zone and type must be texts")
-    if type(group) is not int or type(since_ms) is not int or since_ms < 0:
+    if not _is_text(zone) or not _is_text(kind) or not (protocol is None or _is_text(protocol)):
+        raise ValueError("zone, type and protocol must be texts")
+    if not _is_whole(group) or not _is_whole(since_ms) or since_ms < 0:
         raise ValueError("group and since_ms must be whole numbers")
     if isinstance(weight, bool) or not isinstance(weight, int | float) or not math.isfinite(weight):
         raise ValueError("weight must be a number")
-    # A status that is not known here takes nothing new.
-    state = _STATES.get(entry["status"], ServerState.DRAINING)
-    started_at = since_ms * 1000 or None
-    protocol = entry.get("protocol")
-    if protocol is not None and not isinstance(protocol, str):
-        raise ValueError("protocol must be a text")
-    server = ListedServer(name, zone, kind, group, state, float(weight), started_at)
+    server = ListedServer(name, zone, kind, group, state, float(weight), since_ms * 1000 or None)
     return Listed(server, _place(entry.get("address"), state), protocol)
 
 
+def _is_text(value: object) -> bool:
+    """Whether this is a text that can be written: JSON may hold halves of characters."""
+    return isinstance(value, str) and not any("\ud800" <= each <= "\udfff" for each in value)
+
+
+def _is_whole(value: object) -> bool:
+    return type(value) is int and abs(value) < _WHOLE_MOST
+
+
 def list_to_json(version: int, lines: Iterable[Listed]) -> dict[str, Any]:
     """A list in discovery's form: what `parse_list` reads."""
     return {"index": version, "snapshot": True, "endpoints": [_entry(each) for each in lines]}
@@ -197,8 +218,12 @@
         except TimeoutError:
             self._fell_silent = True
             log.warning("discovery: no answer in %.1f s", limit_s)
-        except (OSError, ValueError) as fault:
+        except (OSError, ValueError, RecursionError) as fault:
             log.warning("discovery: %s", fault or type(fault).__name__)
+        except (
+            Exception
+        ):  # a defect; guards against a watch that ends without a word, after which none begins
+            log.exception("discovery: a call could not be read")
         self._failed = told is None
         if told is not None:
             self._heard_at = asyncio.get_running_loop().time()
