A repeat is never written after servers forget; its pod is the one it ran in

Found by reading, for the suspects "keyed with a memory shorter than the wait" and "a change of the pod".

1. balancer.py _may_run_again looked at the moment of deciding alone. A second attempt decided within the class's memory and dialled slowly was written after it: rule 2. Where a third of connections come up 1.5 s late and the settings name a shorter memory the two cross. Mend: Send says by when its last byte has to be out; the carriers end what is not written then, and it is answered at once. A large body that is still being written ends so too. 2. _in_group compared with the first server's cell as listed now. A process of the same name in another cell changed it, and the repeat went to a cell that never heard of the request. Mend: an attempt keeps the zone and cell it was sent to. 3. http/upstream.py renew left dials to the former place under way: whoever listens there now would get the request. Mend: they end unsent, as MessagePack-RPC's did; there the end was DIAL_FAILED, which counts against the node as it is now, and is UNSENT too (its test asks for that).

Tests over loopback, both protocols: a dial that comes up after the memory (4 pairs), one under way to a node that moves or restarts (2); the module's two by events.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -211,6 +211,31 @@
             each.close()
 
 
+async def heard_at(listener: socket.socket, fillers: list[socket.socket], seconds: float = 3.0) -> bytes:
+    """Let dials to a full listener come up; what they write in this time.
+
+    The kernel knocks again one second after a dial, and two more after that.
+    """
+    heard = bytearray()
+    listener.settimeout(0.0)
+    for filler in fillers:
+        filler.close()
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + seconds
+    taken: list[socket.socket] = []
+    while loop.time() < until_s:
+        with contextlib.suppress(BlockingIOError):
+            taken.append(listener.accept()[0])
+        for each in taken:
+            each.settimeout(0.0)
+            with contextlib.suppress(OSError):
+                heard += each.recv(65536)
+        await asyncio.sleep(0.01)
+    for each in taken:
+        each.close()
+    return bytes(heard)
+
+
 @contextlib.contextmanager
 def deaf() -> Iterator[Address]:
     """Where connections never come up."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -135,6 +135,35 @@
         assert len({cell_of[each] for each in targets}) == 1
 
 
+def test_the_cell_of_a_keyed_request_is_that_of_its_first_server_when_it_was_sent_there() -> None:
+    # Guards against a new process of the same name in another cell: what may have run, ran in the former one.
+    stage = Stage()
+    stage.servers([ListedServer("a", zone="east", cell=0)])
+    request = stage.request("amend")
+    stage.servers(
+        [
+            ListedServer("a", zone="east", cell=1, started_at=stage.now),
+            ListedServer("b", zone="east", cell=1),
+            ListedServer("c", zone="east", cell=0),
+        ],
+        ListKind.CHANGES,
+    )
+    stage.wait(10 * MS)
+    stage.end(request, Outcome.DROPPED)
+    assert [each.server for _, each in stage.sends(request)] == ["a", "c"]
+
+
+def test_a_further_attempt_of_a_keyed_request_says_by_when_it_has_to_be_written() -> None:
+    stage = Stage()
+    stage.servers(cells())
+    request = stage.request("amend", remaining_us=4 * S)
+    stage.wait(100 * MS)
+    stage.end(request, Outcome.DROPPED)
+    (_, first), (_, second) = stage.sends(request)
+    assert first.write_by >= first.until
+    assert START + 1 * S < second.write_by < START + 2 * S
+
+
 def test_a_keyed_request_is_not_sent_again_once_servers_forget() -> None:
     stage = Stage()
     stage.servers(cells())
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -180,6 +180,7 @@
 
     index: int
     server: Server
+    home: tuple[str, int]  # the server's zone and cell then: a new process of its name may be elsewhere
     sent_at: int
     absent_before: int  # how long the balancer had stalled by then
     answers_before: int  # how many answers had come by then, from all servers
@@ -330,7 +331,7 @@
         self._follow_load()
         self._stall.notice(now, isinstance(event, TimerFired))
         if not self._stall.behind and self._strain.mature(now):
-            self._size_window(self._young)
+            self._size_window()
         if not self._begun:
             self._begun = True
             spread = asking.first_spread(self.others.most, self._settings.rules.ask_within_us)
@@ -449,9 +450,8 @@
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
         answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
         cost = self._relative_cost(kind, event.cost_us)
-        request = Request(
-            event.request, kind, answer_by, cost, (kind.name, event.tenant), not self._near_first
-        )
+        flow = (kind.name, event.tenant)
+        request = Request(event.request, kind, answer_by, cost, flow, not self._near_first)
         self._requests[event.request] = request
         self._schedule(answer_by, event.request, _WHOLE)
         if self._overloaded_for(request, event.tenant) or self._is_stale(kind, event.remaining_us):
@@ -503,10 +503,7 @@
     # -- Order: where a class asks for it, requests with one key run one at a time --------------------
 
     def _line_up(self, request: Request, key: int) -> None:
-        queue = self._queues.get(key)
-        if queue is None:
-            queue = self._queues[key] = Queue(key)
-        request.queue = queue
+        request.queue = queue = self._queues.setdefault(key, Queue(key))
         queue.requests.append(request)
         self._moved.append(queue)
 
@@ -542,9 +539,8 @@
         (self._in_time if spent <= 1.0 else self._too_late).add(self._now, 1.0)
         if self._strain.floor is None and self._window == math.inf:
             self._sized_from = self._now + int(NEW_AIMS * self._longest_aim)
-        load = self._young
-        self._strain.feel(self._now, spent, load <= FREE * self._window)
-        self._size_window(load)
+        self._strain.feel(self._now, spent, self._young <= FREE * self._window)
+        self._size_window()
 
     def _chance(self) -> float:
         """The fewer answers there are, the more of the median is chance: it must be further off to count."""
@@ -559,11 +555,10 @@
         if lapse > 0:
             self._load_at = self._now
             span = self._stretch() * self._longest_aim
-            load = self._young
-            self._mean_load = min(self._mean_load, max(load, self._window, 1.0))  # more delays relief
-            self._mean_load += (load - self._mean_load) * (1.0 - math.exp(-lapse / span))
+            self._mean_load = min(self._mean_load, max(self._young, self._window, 1.0))  # more delays relief
+            self._mean_load += (self._young - self._mean_load) * (1.0 - math.exp(-lapse / span))
 
-    def _size_window(self, load: int) -> None:
+    def _size_window(self) -> None:
         """Shrink or grow the window by how far the typical answer is from the allowed level.
 
         In flight is what the window bounds, not arrivals: a surge meets it at once.  By Little's law, what is answered
@@ -592,7 +587,7 @@
         if excess > 0.0 and strain.late < LATE_ALLOWED and not saturated:
             return  # slower than usual, yet in time
         if excess > 0.0:
-            self._window = min(self._window, max(load, self._mean_load / FREE))
+            self._window = min(self._window, max(self._young, self._mean_load / FREE))
         elif not self._bound:
             return  # it refused nothing, so nothing says that it is too small
         self._bound = False
@@ -789,10 +784,9 @@
         if server.ejected_until is not None:
             return False
         if request.attempts:
-            if server in request.tried or not self._in_group(request, server):
+            out = [each.server for each in request.attempts if each.pending]  # a second copy goes elsewhere
+            if server in request.tried or server in out or not self._in_group(request, server):
                 return False
-            if any(each.pending and each.server is server for each in request.attempts):
-                return False  # a second copy goes elsewhere
         return server.cold_since is None or self._cold_room(server, request.cost)
 
     # -- Probes: what settles a tie -------------------------------------------------------------------
@@ -928,7 +922,8 @@
             return False  # order
         if not limits.second_copies and request.is_out():
             return False  # rule 2
-        if not self._may_run_again(request) or not self._in_group(request, server):
+        write_by = self._repeat_by(request)
+        if self._now >= write_by or not self._in_group(request, server):
             return False  # rule 2
         if server.state is not ServerState.READY:
             return False  # rule 3: at once on hearing, without use of the grace
@@ -939,9 +934,8 @@
         if self._is_cold(server):
             server.allowance -= request.cost
         verdict = self._strain.sent(self._now, request.kind.aim_us, self._chance())
-        attempt = Attempt(
-            len(request.attempts), server, self._now, self._stall.absent_us, self._answers, verdict
-        )
+        number, home = len(request.attempts), (server.zone, server.cell)
+        attempt = Attempt(number, server, home, self._now, self._stall.absent_us, self._answers, verdict)
         request.attempts.append(attempt)
         server.in_flight += 1
         server.young += 1
@@ -952,7 +946,7 @@
         else:
             server.trial = attempt
         self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
-        self._actions.append(Send(request.ident, server.name, request.answer_by))
+        self._actions.append(Send(request.ident, server.name, request.answer_by, write_by))
         return True
 
     def _may_spend(self, what: str, tenant: str | None = None) -> bool:
@@ -960,21 +954,26 @@
 
     def _may_run_again(self, request: Request) -> bool:
         """Whether the request's class lets another attempt out now."""
+        return self._now < self._repeat_by(request)
+
+    def _repeat_by(self, request: Request) -> int:
+        """By when another attempt has to be written whole, by the request's class."""
         first_maybe = next((each for each in request.attempts if each.may_have_run), None)
         if first_maybe is None or request.kind.repeat is Repeat.SAFE:
-            return True
+            return max(request.answer_by, self._now + 1)
         if request.kind.repeat is Repeat.UNSAFE:
-            return False
+            return 0
         # Keyed: servers forget; one tick less, since the clock is read once a tick.
-        return self._now + self._settings.tick_us < first_maybe.sent_at + request.kind.memory_us
+        return first_maybe.sent_at + request.kind.memory_us - self._settings.tick_us
 
     @staticmethod
     def _in_group(request: Request, server: Server) -> bool:
         """Whether a keyed request that may have run would have its repeat dropped at this server."""
         if request.kind.repeat is not Repeat.KEYED or request.kind.group is Group.ALL:
             return True
-        first = next((each.server for each in request.attempts if each.may_have_run), server)
-        return first.zone == server.zone if request.kind.group is Group.ZONE else first.cell == server.cell
+        here = (server.zone, server.cell)
+        zone, cell = next((each.home for each in request.attempts if each.may_have_run), here)
+        return zone == server.zone if request.kind.group is Group.ZONE else cell == server.cell
 
     # -- The final answer gate ------------------------------------------------------------------------
 
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -528,7 +528,8 @@
         until = self._clock.on_loop(live.answer_by if last else action.until)
         ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
         try:
-            attempt = self._nodes.send(action.server, live.call, until, ended, last=last)
+            write_by = self._clock.on_loop(action.write_by)
+            attempt = self._nodes.send(action.server, live.call, until, ended, last=last, write_by=write_by)
         except Exception:
             ended(Outcome.DROPPED, None)  # a defect; nobody knows how far it went
             raise
--- a/topazbank/core/nodes.py
+++ b/topazbank/core/nodes.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 from topazbank.core.call import Call, Ended, Response
 from topazbank.core.net import Address
-from topazbank.core.timers import Timer
+from topazbank.core.timers import Timer, Timers
 from topazbank.interface import Outcome, ServerState
 
 log = logging.getLogger(__name__)
@@ -47,10 +48,17 @@
         )
         self.timers: list[Timer] = []
         self.call: Call | None = None  # of an attempt; a probe has none
+        self.write_by = math.inf  # on the event loop's clock: once past, it is not to be written any more
 
-    def has_no_client(self) -> bool:
-        """Whether its client has left since it was sent on its way: it is not to be written any more."""
-        return self.call is not None and self.call.has_left()
+    def is_void(self) -> bool:
+        """Whether it is not to be written any more: its time for that is past, or its client has left meanwhile."""
+        late = asyncio.get_running_loop().time() >= self.write_by
+        return late or (self.call is not None and self.call.has_left())
+
+    def bound_writing(self, timers: Timers) -> None:
+        """See to it that it ends in time where its writing has a time of its own."""
+        if self.write_by < self.until:
+            self.timers.append(timers.at(self.write_by, _unsend, self))
 
     def begin(self, response: Response) -> None:
         """A large answer has begun: it is its client's now, and no longer bounded by the attempt's time."""
@@ -81,6 +89,10 @@
         raise NotImplementedError
 
 
+def _unsend(attempt: Attempt) -> None:
+    attempt.unsend()
+
+
 class Carrier(Protocol):
     """What speaks one protocol to nodes."""
 
@@ -98,8 +110,20 @@
 
     def close_idle(self, endpoint: Endpoint) -> None: ...
 
-    def send(self, endpoint: Endpoint, call: Call, until: float, ended: Ended, *, last: bool) -> Attempt:
-        """Start an attempt.  `last`: when its time is up its request is over, and no other attempt follows."""
+    def send(
+        self,
+        endpoint: Endpoint,
+        call: Call,
+        until: float,
+        ended: Ended,
+        *,
+        last: bool,
+        write_by: float = math.inf,
+    ) -> Attempt:
+        """Start an attempt.  `last`: when its time is up its request is over, and no other attempt follows.
+
+        `write_by`: it ends unsent where its last byte has not gone to the kernel by then.
+        """
 
     def probe(self, endpoint: Endpoint, until: float, ended: Ended) -> Attempt: ...
 
@@ -234,10 +258,20 @@
             self._remove(each)
         return [each.name for each in former]
 
-    def send(self, name: str, call: Call, until: float, ended: Ended, *, last: bool = True) -> Attempt:
+    def send(
+        self,
+        name: str,
+        call: Call,
+        until: float,
+        ended: Ended,
+        *,
+        last: bool = True,
+        write_by: float = math.inf,
+    ) -> Attempt:
         """Start an attempt; `ended` hears its outcome exactly once, maybe before this returns."""
         endpoint = self.endpoints[name]
-        return self._carriers[endpoint.protocol].send(endpoint, call, until, ended, last=last)
+        carrier = self._carriers[endpoint.protocol]
+        return carrier.send(endpoint, call, until, ended, last=last, write_by=write_by)
 
     def probe(self, name: str, ended: Ended) -> Attempt:
         """Ask a node how it is."""
--- a/topazbank/http/upstream.py
+++ b/topazbank/http/upstream.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import socket
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
@@ -128,7 +129,10 @@
         endpoint.pool = self._pools[endpoint.name] = Pool()
 
     def renew(self, endpoint: Endpoint) -> None:
+        """End what waits for a dial too: who listens at the former place by now may be another."""
         self.close_idle(endpoint)
+        for exchange in list(endpoint.pool.dialling):
+            exchange.end(Outcome.UNSENT)
 
     def forget(self, endpoint: Endpoint) -> None:
         del self._pools[endpoint.name]
@@ -139,10 +143,19 @@
         for exchange in list(endpoint.pool.dialling):
             exchange.end(Outcome.DIAL_FAILED)
 
-    def send(self, endpoint: Endpoint, call: Call, until: float, ended: Ended, *, last: bool) -> Exchange:
+    def send(
+        self,
+        endpoint: Endpoint,
+        call: Call,
+        until: float,
+        ended: Ended,
+        *,
+        last: bool,
+        write_by: float = math.inf,
+    ) -> Exchange:
         """Start an attempt; giving one up closes its connection, whether it was the last or not."""
         exchange = Exchange(endpoint, partial(write_request, call), until, ended)
-        exchange.call = call
+        exchange.call, exchange.write_by = call, write_by
         return self._start(exchange)
 
     def probe(self, endpoint: Endpoint, until: float, ended: Ended) -> Exchange:
@@ -158,6 +171,7 @@
             exchange.end(Outcome.UNSENT)
             return exchange
         exchange.timers.append(self._timers.at(exchange.until, self._time_up, exchange))
+        exchange.bound_writing(self._timers)
         connection = self._take_idle(exchange.pool)
         if connection is not None:
             self._write(exchange, connection)
@@ -234,7 +248,7 @@
             exchange.end(Outcome.DIAL_FAILED)
             return False
         connection.on_lost = self._slots.give
-        if exchange.ended is not None and exchange.has_no_client():
+        if exchange.ended is not None and exchange.is_void():
             exchange.dial = None  # it is this task, which has done its work
             exchange.end(Outcome.UNSENT)
         if exchange.ended is None:
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -508,6 +508,7 @@
     request: int
     server: str
     until: int  # clock time at which the attempt is abandoned
+    write_by: int  # and by which it has to be written whole: from then on it never is
 
 
 @dataclass(slots=True)
--- a/topazbank/msgpackrpc/upstream.py
+++ b/topazbank/msgpackrpc/upstream.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import logging
+import math
 import socket
 from collections import deque
 from collections.abc import Callable, Collection
@@ -149,7 +150,7 @@
             transport is not None and self._writing is None and self._waiting and not transport.is_closing()
         ):
             attempt = self._waiting.popleft()
-            if attempt.has_no_client():
+            if attempt.is_void():
                 attempt.connection = None
                 attempt.end(Outcome.UNSENT)
                 continue
@@ -274,13 +275,13 @@
         for attempt in calls:
             attempt.end(written if attempt.written else Outcome.DIAL_FAILED)
 
-    def withdraw(self) -> None:
+    def withdraw(self, unwritten: Outcome) -> None:
         """Its node takes nothing new: what has not begun to be written never is."""
         self.usable = False
         waiting, self._waiting = list(self._waiting), deque()
         for attempt in waiting:
             attempt.connection = None
-            attempt.end(Outcome.DIAL_FAILED)
+            attempt.end(unwritten)
         self._carrier.at_rest(self)
 
     def abort(self) -> None:
@@ -343,11 +344,13 @@
         endpoint.pool = self._pools[endpoint] = Pool()
 
     def renew(self, endpoint: Endpoint) -> None:
-        self.withdraw(endpoint)  # what waits for a dial would go to the former process, or to nobody
+        """What waits for a dial would go to the former process, or to nobody."""
+        for connection in endpoint.pool.all():
+            connection.withdraw(Outcome.UNSENT)
 
     def withdraw(self, endpoint: Endpoint) -> None:
         for connection in endpoint.pool.all():
-            connection.withdraw()
+            connection.withdraw(Outcome.DIAL_FAILED)
 
     def forget(self, endpoint: Endpoint) -> None:
         del self._pools[endpoint]
@@ -357,11 +360,20 @@
             if not connection.load:
                 connection.abort()
 
-    def send(self, endpoint: Endpoint, call: Call, until: float, ended: Ended, *, last: bool) -> RpcAttempt:
+    def send(
+        self,
+        endpoint: Endpoint,
+        call: Call,
+        until: float,
+        ended: Ended,
+        *,
+        last: bool,
+        write_by: float = math.inf,
+    ) -> RpcAttempt:
         order: Order = lambda msgid, left: write_call(msgid, call, left)  # noqa: E731
         lodge = call.kind.repeat is Repeat.UNSAFE
         attempt = RpcAttempt(endpoint, order, until, ended, lodge, last)
-        attempt.call = call
+        attempt.call, attempt.write_by = call, write_by
         if call.large is not None:
             attempt.end(Outcome.UNSENT)  # larger than a message may be: nodes that speak HTTP may take it
             return attempt
@@ -383,6 +395,7 @@
             attempt.end(Outcome.UNSENT)  # the lack is this sidecar's: it says nothing of the server
             return attempt
         attempt.timers.append(self._timers.at(attempt.until, RpcAttempt.time_up, attempt))
+        attempt.bound_writing(self._timers)
         connection.add(attempt)
         return attempt
 
