What is not all written, or has a request behind it, makes no room for others

Mend: can_go asks for both, and _make_room and move go by it; LEAVING stands first in the table of who makes room. Ruled out: close_idle and time_up close by is_idle, which asks what is read already, and close writes out what waits. Tests: a slow reader with small buffers while another comes, and a room-making forced into that turn; both seen to fail without the mend. Tests of the fronts, leaving, life and operation pass.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -7,13 +7,14 @@
 import errno
 import socket
 import time
-from typing import get_args
+from typing import Any, get_args
 
 import pytest
 from helpers import settings
 from loopback import (
     CLASSES,
     PATIENCE_S,
+    World,
     answer,
     ask,
     client,
@@ -223,6 +224,67 @@
     play(scene())
 
 
+async def taking_slowly(w: World) -> tuple[socket.socket, bytes]:
+    """A client whose answer is written by now as far as small buffers let it, and what it has read of it."""
+    w.sidecar.frontend.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    slow = socket.socket()
+    slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    slow.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(slow, w.sidecar.frontend.address)
+    await loop.sock_sendall(slow, request())
+    return slow, await loop.sock_recv(slow, 1)
+
+
+async def the_rest(slow: socket.socket) -> bytes:
+    data = b""
+    with contextlib.suppress(ConnectionError):
+        while more := await asyncio.get_running_loop().sock_recv(slow, 65536):
+            data += more
+            if data.endswith(b"end"):
+                break
+    return data
+
+
+def test_an_answer_that_is_not_all_written_makes_no_room_for_others() -> None:
+    # Guards rule 1: a client that takes its answer slowly gets the rest of it, however many others come.
+    async def scene() -> None:
+        whole = bytes(60_000) + b"end"
+        async with world(lambda *_: answer(200, whole), sockets=50) as w:  # one connection of a client
+            slow, first = await taking_slowly(w)
+            asking = asyncio.create_task(w.ask(X_Call_Id="other"))
+            await asyncio.sleep(0.2)  # the other's connection is in the kernel's queue by far
+            assert (first + await the_rest(slow)).endswith(whole)
+            assert (await asking)[0] == 200  # and then there is room
+            slow.close()
+
+    play(scene())
+
+
+def test_a_request_sent_ahead_is_not_closed_under_by_others_that_need_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The crossing: its connection rests for one turn of the loop, between the answer before it and its reading.
+    async def scene() -> None:
+        async with world(served, sockets=50) as w:
+            room: list[bool] = []
+            over = HttpConnection._over
+
+            def crossed(connection: HttpConnection, *args: Any) -> None:
+                over(connection, *args)
+                room.append(w.sidecar.frontend._make_room())
+
+            monkeypatch.setattr(HttpConnection, "_over", crossed)
+            one = await client(w.sidecar.frontend.address)
+            one.send(request() + request(X_Call_Id="ahead"))
+            for _ in range(2):
+                assert (await one.answer())[0] == 200
+            assert room[0] is False
+            one.close()
+
+    play(scene())
+
+
 def test_a_lack_of_descriptors_neither_spins_nor_ends_the_listening() -> None:
     class Lacking:
         """A listener of which the first accepts fail."""
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -61,6 +61,7 @@
 }
 # Who makes room, and how long it must have been in its phase, or gone no further in it.
 _ROOM_BY = (
+    (Phase.LEAVING, 0.0),
     (Phase.NEW, _IDLE_S),
     (Phase.WAITING, _HALTED_S),
     (Phase.RESTING, _YOUNG_S),
@@ -104,6 +105,15 @@
         """Whether it may be closed: no request is held, begun or waiting unread."""
         return self.phase in _CLOSABLE and self.is_quiet()
 
+    def can_go(self) -> bool:
+        """Whether ending it at once loses nothing: all it was told is written, and nothing it said is unread or held.
+
+        An end over unread bytes is a reset, which takes with it what its client has not read yet.
+        """
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            return False
+        return self.is_idle() if self.phase in _AT_REST else self.is_quiet()
+
     def has_left(self) -> bool:
         """Whether its client has gone: asked of the kernel, as nothing may be read for now (what came is bounded).
 
@@ -267,19 +277,19 @@
         while there are others: its request may be on the way.
         """
         now = asyncio.get_running_loop().time()
-        chosen = next(iter(self._phases[Phase.LEAVING]), None)
+        chosen = None
         for phase, least_s in _ROOM_BY:
-            chosen = chosen or self._quiet(phase, now - least_s)
+            chosen = chosen or self._that_can_go(phase, now - least_s)
         if chosen is None:
             return False
         self.lost(chosen)
         chosen.abort()
         return True
 
-    def _quiet(self, phase: Phase, before: float) -> ClientConnection | None:
-        """The longest in a phase, and since before this time, that has sent nothing which is still unread."""
+    def _that_can_go(self, phase: Phase, before: float) -> ClientConnection | None:
+        """The longest in a phase, and since before this time, whose end loses nothing."""
         for _, (connection, since) in zip(range(_TRIED_FOR_ROOM), self._phases[phase].items(), strict=False):
-            if since <= before and connection.is_quiet():
+            if since <= before and connection.can_go():
                 return connection
         return None
 
@@ -321,8 +331,8 @@
             connection.phase = phase
             self.opened(connection)
             if phase in _AT_REST and len(self._phases[phase]) > self._most_at_rest:
-                oldest = self._quiet(phase, asyncio.get_running_loop().time())
-                if oldest is not None and oldest.is_idle():
+                oldest = self._that_can_go(phase, asyncio.get_running_loop().time())
+                if oldest is not None:
                     self.lost(oldest)
                     oldest.close()
 
