Listening goes on until what waits in the kernel has been taken

Found by reading, for the suspect "requests accepted by the kernel and never read when listening stops". listener.py stop took what waited only as far as there was room, and then closed the listener: the rest was reset with no answer. An accept that failed once (a client that was gone) or lacked a descriptor ended it as well.

HTTP's is served; MessagePack-RPC refuses calls so late, as before.

--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -204,6 +204,31 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_pair")
+def test_what_waits_in_the_kernel_for_room_is_served_when_listening_ends() -> None:
+    # Guards against closing a listener over connections that were accepted by the kernel alone: they would be reset.
+    async def scene() -> None:
+        async with world(lambda *_: None, sockets=50) as w:  # one connection of a client
+            holding = await client(w.sidecar.frontend.address)
+            holding.send(request("pay", body=b"x"))
+            await until(w.sent)
+            waiting = await client(w.sidecar.frontend.address)
+            waiting.send(request("pay", body=b"y", X_Call_Id="waiting"))
+            w.stop.set()
+            await until(lambda: w.sidecar.frontend.stopped)
+            await asyncio.sleep(0.05)  # a few steps of the drain
+            w.servers[0].script = lambda *_: answer(200, b"served")
+            w.servers[0].answer_held(answer(200, b"held"))
+            assert (await holding.answer())[2] == b"held"
+            holding.close()
+            # Over the other protocol calls that come so late are refused: their clients keep their connections.
+            assert (await waiting.answer())[0] == (200 if pair().client == HTTP else 503)
+            waiting.close()
+            await asyncio.wait_for(w.sidecar._over.wait(), PATIENCE_S)
+
+    play(scene())
+
+
 @pytest.mark.usefixtures("each_pair")
 def test_after_sigterm_a_request_that_never_ends_is_failed_in_time(tmp_path: Path) -> None:
     async def scene() -> None:
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -235,22 +235,24 @@
         self._accepting = False
         asyncio.get_running_loop().remove_reader(self._sock)
 
-    def _accept(self, at_once: int = _ACCEPTED_AT_ONCE) -> None:
-        """Take the connections that wait."""
+    def _accept(self, at_once: int = _ACCEPTED_AT_ONCE) -> bool:
+        """Take connections that wait; say whether none waits any more."""
         for _ in range(at_once):
             if self._count() >= self._most and not self._make_room():
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
-                return
+                return False
             try:
                 sock, _ = self._sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except BlockingIOError:
+                return True
+            except (InterruptedError, ConnectionAbortedError):
+                continue
             except OSError as fault:
                 log.error("accept: %s", fault)
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
-                return
+                return False
             if has_ended(sock) or self._is_swamped():  # ended: it waited for longer than its client did
                 sock.close()
                 continue
@@ -259,6 +261,7 @@
             task = asyncio.get_running_loop().create_task(self._begin(sock))
             self._starting.add(task)
             task.add_done_callback(self._starting.discard)
+        return False
 
     async def _begin(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError):
@@ -363,11 +366,12 @@
                     connection.close()
 
     def stop(self, succeeded: bool = False) -> None:
-        """Listen no more; what waits is taken first, unless another process takes it from the same queue."""
-        if self._sock.fileno() < 0:
+        """Listen no more; what waits is taken first, unless another process takes it from the same queue.
+
+        Where there is no room for it now, listening goes on until the next step of the drain: an end would reset it.
+        """
+        if self._sock.fileno() < 0 or (not succeeded and not self._accept(_BACKLOG)):
             return
-        if not succeeded:
-            self._accept(_BACKLOG)
         if self._accepting:
             self._pause()
         self._sock.close()
