--- a/tests/test_any_sequence.py
+++ b/tests/test_any_sequence.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
+from dataclasses import replace
 from typing import Any
 
+import pytest
 from helpers import KEYED, MS, SAFE, START, UNSAFE, S, names, settings
 from hypothesis import HealthCheck, given
 from hypothesis import settings as how
@@ -108,7 +111,8 @@
         if maybe and kind.repeat is Repeat.UNSAFE:
             raise AssertionError("an unsafe request was sent again")
         if maybe and kind.repeat is Repeat.KEYED:
-            assert self.now < maybe[0]["at"] + kind.memory_us, "sent after servers forgot"
+            forgotten = maybe[0]["at"] + kind.memory_us
+            assert self.now < action.write_by < forgotten, "sent, or to be written, after servers forgot"
             for each in maybe:
                 assert kind.group.value != "zone" or each["line"].zone == line.zone, "left the zone"
                 assert kind.group.value != "cell" or each["line"].cell == line.cell, "left the cell"
@@ -292,3 +296,41 @@
                 else:
                     referee.list(kind, changed)
     referee.wait(4 * S)
+
+
+MOVED = [ListedServer(name, "west", "box", 4 + index % 3) for index, name in enumerate(SERVERS)]
+WAITS = (20 * MS, 2 * S - 3 * TICK, 2 * S - TICK, 2 * S)  # about the memory of the keyed classes
+
+
+@pytest.mark.parametrize("late_shedding", [False, True])
+@pytest.mark.parametrize("moves", [False, True])
+@pytest.mark.parametrize("name", [str(each["name"]) for each in CLASSES])
+def test_every_class_keeps_the_rules_through_every_outcome_at_every_attempt(
+    name: str, moves: bool, late_shedding: bool
+) -> None:
+    """Also where all servers are in other zones and cells meanwhile, under their former names."""
+    sent: set[tuple[Outcome, ...]] = set()  # after which outcomes a further attempt left
+    for first, second, wait in itertools.product(Outcome, Outcome, WAITS):
+        referee = Referee(False, 3, late_shedding, set(), False, 7)
+        ready = [ListedServer(each, "east", "box", index % 3) for index, each in enumerate(SERVERS)]
+        referee.list(ListKind.REMEMBERED, ready)
+        referee.arrive(name, 4 * S, None)
+        attempts = referee.requests[1]["attempts"]
+        for outcome in (first, second):
+            referee.wait(wait if outcome is first else 20 * MS)
+            if moves:
+                referee.list(ListKind.CHANGES, [replace(each) for each in MOVED])
+            before = len(attempts)
+            referee.end(0, outcome)
+            if len(attempts) > before:
+                sent.add(tuple(each["outcome"] for each in attempts[:-1]))
+        referee.wait(5 * S)
+        assert referee.requests[1]["over"]
+    proofs = set(referee.proofs)
+    assert {(each,) for each in proofs} <= sent  # what provably never ran is tried again, whatever the class
+    if name == UNSAFE["name"]:
+        assert set(itertools.chain(*sent)) <= proofs
+    elif not moves or name in (SAFE["name"], "amend-all"):
+        assert (Outcome.DROPPED,) in sent
+    else:
+        assert (Outcome.DROPPED,) not in sent  # nobody is left where it may have run
