A watch that falls silent in the middle of its answer: a test, both kinds of discovery

For the suspect of that name, ruled out by reading alone before: half an answer changes nothing, the call is given up 0.3 s after its wait like one that says nothing, and the next call's answer is taken.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -173,6 +173,7 @@
     def __init__(self) -> None:
         self.targets: list[str] = []
         self.answers: asyncio.Queue[bytes] = asyncio.Queue()
+        self.writers: list[asyncio.StreamWriter] = []  # of each call
         self.called_after_s: list[float] = []  # from each answer to the next call
         self._answered_at: float | None = None
 
@@ -182,6 +183,7 @@
             first = (await read_http(reader)).first
             if self._answered_at is not None:
                 self.called_after_s.append(loop.time() - self._answered_at)
+            self.writers.append(writer)
             self.targets.append(first.split(" ")[1])
             writer.write(await self.answers.get())
             await writer.drain()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import Any
 
 import pytest
@@ -223,6 +224,35 @@
     play(scene())
 
 
+@pytest.mark.parametrize("discovery", ["pushed", "on_request"])
+def test_a_watch_that_falls_silent_in_the_middle_of_its_answer_is_silent(
+    discovery: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(asking, "WATCH_LEAST_S", 0.3)
+    monkeypatch.setattr(asking, "CHECK_LEAST_S", 0.3)
+
+    async def scene() -> None:
+        async with world(served, discovery=discovery) as w:
+            began = asyncio.get_running_loop().time()
+            leaving = json.dumps({"index": 42, "endpoints": [w.servers[0].entry(status="leaving")]}).encode()
+            half = answer(200, leaving)[:-40]
+            await until(lambda: w.discovery.called(1))
+            writer = w.discovery.writers[0]
+            writer.write(half)  # and no more: it stays open
+            await until(lambda: w.discovery.called(2))
+            assert (
+                asyncio.get_running_loop().time() - began < 0.3 + 2.0
+            )  # what it held back counts as told then
+            assert w.sidecar._balancer._servers["s-0"].state is ServerState.READY  # of half a list nothing
+            writer.write(answer(200, leaving)[-40:])  # late: nobody reads it
+            w.discovery.answers.put_nowait(b"")  # goes to the call that was given up
+            for _ in range(3):  # the machine may be slow, and more calls in vain
+                w.discovery.say(43, [w.servers[0].entry(status="leaving")])
+            await until(lambda: w.sidecar._balancer._servers["s-0"].state is ServerState.DRAINING)
+
+    play(scene())
+
+
 def test_the_watch_after_a_silent_one_is_short_unless_the_fleet_is_large() -> None:
     assert asking.check_s(6) == asking.CHECK_LEAST_S
     assert asking.check_s(200) == 10.0 < asking.watch_s(200)
