A lagging sidecar ends no more than one new connection in 250 unread

Mend: an allowance, 1 for 250 connections taken and 2 saved up at most; beyond it they are taken and the module decides. Budgets of 0 to 50 ms in all pairs of protocols: a test, passes on the program as it is.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -501,6 +501,22 @@
     play(scene())
 
 
+@pytest.mark.parametrize("budget", ["0", "0.000001", "0.005", "0.01", "0.02", "0.05"])
+@pytest.mark.usefixtures("each_pair")
+def test_a_budget_of_next_to_nothing_is_answered_as_it_ends_and_nothing_is_sent_after(budget: str) -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            status, _, _ = await w.ask(kind="pay", body=b"x", budget=budget)
+            await until(lambda: not w.sidecar._live)
+            await asyncio.sleep(0.1)  # what left is at the node by then
+            seen = len(w.sent())
+            assert status == (500 if seen else 503)  # a refusal is right where nothing left
+            await asyncio.sleep(0.1)
+            assert len(w.sent()) == seen <= 1
+
+    play(scene())
+
+
 @pytest.mark.usefixtures("each_node")
 def test_an_attempt_whose_time_is_up_is_never_sent() -> None:
     async def scene() -> None:
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -32,6 +32,10 @@
 _LEAST_BUSY = 32  # connections that may carry requests, however late all is
 _BUSY_LESS = 0.8  # at each late sweep they may be this part of what they were
 _BUSY_MORE = 1.1  # and at each other one this many times as many
+_TAKEN_FOR_ONE = (
+    250  # connections that are taken for each that is ended unread: of 200 the platform bears one
+)
+_MAY_END_MOST = 2.0  # that many may be saved up
 _BINARY = 0x80  # first bytes from here on are MessagePack's arrays; no HTTP method has one
 
 
@@ -196,6 +200,7 @@
         # The connections of each phase and since when they are in it, the longest first; `_most` in all.
         self._phases: dict[Phase, dict[ClientConnection, float]] = {phase: {} for phase in Phase}
         self._most_busy = float(most)  # connections that may carry requests: fewer while all is late
+        self._may_end = 0.0  # new connections that may be ended unread by now
         self._sweep_due = 0.0
         self._accepting = False
         self._starting: set[asyncio.Task[None]] = set()
@@ -253,7 +258,7 @@
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
                 return False
-            if has_ended(sock) or self._is_swamped():  # ended: it waited for longer than its client did
+            if has_ended(sock) or self._ends_unread():  # ended: it waited for longer than its client did
                 sock.close()
                 continue
             sock.setblocking(False)
@@ -313,13 +318,19 @@
         self._sweep_due = asyncio.get_running_loop().time() + _SWEEP_S
         asyncio.get_running_loop().call_at(self._sweep_due, self._sweep)
 
-    def _is_swamped(self) -> bool:
-        """Whether the CPU falls behind with the connections that carry requests.
+    def _ends_unread(self) -> bool:
+        """Whether to end a new connection at once, unread, to catch up.
 
-        Guards against answers that all come late: those served are served in time, and new connections end at
-        once, for a twentieth of what refusing a request costs.  Harm: a short pause of the machine under many
-        connections ends some too.
+        It costs a twentieth of what refusing a request does, but its client hears nothing: only so few may end so.
         """
+        self._may_end = min(self._may_end + 1.0 / _TAKEN_FOR_ONE, _MAY_END_MOST)
+        if self._may_end < 1.0 or not self._is_swamped():
+            return False
+        self._may_end -= 1.0
+        return True
+
+    def _is_swamped(self) -> bool:
+        """Whether the CPU falls behind with the connections that carry requests."""
         at_rest = sum(len(self._phases[phase]) for phase in _NOT_BUSY)
         return self._count() - at_rest >= self._most_busy
 
