Idle servers are sent to, whatever late answers foretell

Ruled out: rules (kept), reloads (the first comes later), discovery, connections (none failed), the servers (idle).

Mend: a server that holds less than one request for its size is not crowded, and is sent to.

--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -583,6 +583,27 @@
     assert len(stage.sends(eased)) == 1
 
 
+def test_idle_servers_are_sent_to_whatever_late_answers_foretell() -> None:
+    # Guards a sidecar whose first answers came late in a stall of its own: refusing nearly all that came, it took
+    # seconds to learn that its servers were idle.
+    stage = Stage(settings(**PROBED))
+    stage.servers(names(4))
+    for held in [0.0, 6.0] * 5:
+        request = stage.request()
+        answer_probes(stage, dict.fromkeys(names(4), held))
+        stage.wait(550 * MS)
+        if stage.sends(request):
+            stage.end(request)
+    for _ in range(20):
+        request = stage.request()
+        answer_probes(stage, dict.fromkeys(names(4), 0.0))
+        stage.wait(20 * MS)
+        stage.end(request)
+    assert (
+        len(stage.sends()) >= 26 and len(stage.said(Refuse)) <= 4
+    )  # of the first ten, those at crowded servers
+
+
 def test_a_large_server_that_holds_more_is_not_taken_for_crowded() -> None:
     # Guards against fleets of widely different machines: what fills a small one is nothing to a large one.
     sizes = dict(zip(names(4), (8.0, 1.0, 1.0, 1.0), strict=True))
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -76,6 +76,7 @@
 BEARABLE_SPENT = 0.5  # a probed server may be expected to take this part of the aim, for the most worthy
 BEARABLE_SPREAD = 0.3  # and this much less of it for the least worthy
 LEAST_SIZE = 0.1  # of the mean: a nominal size of zero is junk
+CROWDED_LEAST = 1.0  # a server that holds less, for its size, is idle: late answers came of something else
 FIT_CLIP = 3.0  # one answer counts for at most this many times what was expected: a jam is no rule
 FIT_FLOOR = 0.2  # but for this part of the aim at any rate
 TRICKLE = 0.01  # part let in where probes tell of overload: what they foretell must stay checked
@@ -856,7 +857,7 @@
                 return
         best = best or next(iter(able), None)
         if best is not None and not request.attempts:
-            ratio = self._expected(best)
+            ratio = self._expected(best) if (self._held(best) or 0.0) >= CROWDED_LEAST else None
             bearable = BEARABLE_SPENT - BEARABLE_SPREAD * (1.0 - request.standing)
             if ratio is not None and ratio > bearable and self._random.random() >= TRICKLE:
                 best = None
