--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -860,6 +860,22 @@
     assert stage.said(Refuse) == [] and len(stage.said(Fail)) == 12
 
 
+def test_busy_cores_bound_nothing_by_themselves_once_answers_tell() -> None:
+    # Guards fleets that serve all in time at full cores: priced connections or not, nothing is refused there.
+    stage = Stage(settings(classes=[SAFE], prices={"handshake": 0.05}))
+    stage.servers(names(4))
+    out: list[tuple[int, int]] = []
+    for _ in range(600):
+        stage.wait(10 * MS)
+        request = stage.request()
+        if stage.sends(request):
+            out.append((stage.now + 120 * MS, request))
+        while out and out[0][0] <= stage.now:
+            stage.end(out.pop(0)[1], report={"util": 1.0})
+    late = [at for at, each in stage.log if isinstance(each, Refuse) and at > stage.now - 4 * S]
+    assert not late
+
+
 @pytest.mark.parametrize(("handshake", "most"), [(0.05, 40), (0.0, None)])
 def test_where_connections_are_priced_busy_cores_bound_what_is_sent_before_any_answer_is_late(
     handshake: float, most: int | None
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -569,9 +569,9 @@
         if self._probes > 1:
             return  # probes tell
         over = -1.0 if strain.cores is None else (strain.cores - CORES_BUSY) / (1.0 - CORES_BUSY)
-        dear = self._connecting > 0.0 and over > 0.0  # what is too much costs connections on top
-        young = self._now < self._sized_from and strain.late < 10 * LATE_ALLOWED
-        if young and not strain.is_plain() and not dear:
+        fresh = self._now < self._sized_from
+        dear = fresh and self._connecting > 0.0 and over > 0.0  # what is too much costs connections on top
+        if fresh and strain.late < 10 * LATE_ALLOWED and not strain.is_plain() and not dear:
             return  # every connection is new, the rates are not full: less than half late may be chance
         stretch = self._stretch()
         lapse = min(self._now - self._sized_at, stretch * self._longest_aim / 4)
