Full cores hold a window where it is, and shrink it only until answers tell

Change: where connections are priced and cores are past 0.85, the window does not grow later on; it shrinks by what answers say alone.

--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -570,7 +570,7 @@
             return  # probes tell
         over = -1.0 if strain.cores is None else (strain.cores - CORES_BUSY) / (1.0 - CORES_BUSY)
         fresh = self._now < self._sized_from
-        dear = fresh and self._connecting > 0.0 and over > 0.0  # what is too much costs connections on top
+        dear = self._connecting > 0.0 and over > 0.0  # what is too much costs connections on top
         if fresh and strain.late < 10 * LATE_ALLOWED and not strain.is_plain() and not dear:
             return  # every connection is new, the rates are not full: less than half late may be chance
         stretch = self._stretch()
@@ -583,8 +583,8 @@
             # this balancer's own lag, not of too many requests: refusing would only bring clients back.
             # Harm: overload that cores don't show.  Else a busy balancer goes by answers, which come sooner.
             excess = min(excess, over)
-        excess = max(over if dear else -1.0, min(excess, 1.0))
-        saturated = dear or (strain.cores or 0.0) >= CORES_SATURATED or strain.is_plain()
+        excess = max((over if fresh else 0.0) if dear else -1.0, min(excess, 1.0))
+        saturated = (dear and fresh) or (strain.cores or 0.0) >= CORES_SATURATED or strain.is_plain()
         if excess > 0.0 and strain.late < LATE_ALLOWED and not saturated:
             return  # slower than usual, yet in time
         if excess > 0.0:
