--- /dev/null
+++ b/tests/incidents/test_stopped_clients.py
@@ -0,0 +1,269 @@
+"""Incident of 2 December 2026: clients that stop in the middle of a request, against the program in a process.
+
+Whoever stops is owed an error or a close within 3 s of its last byte (STOPPED_S).  Whoever goes on, however slowly the
+platform allows, is served.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import signal
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from pathlib import Path
+
+import pytest
+from loopback import (
+    Client,
+    FakeServer,
+    Head,
+    Pair,
+    answer,
+    client,
+    play,
+    read_answer,
+    request,
+    use,
+)
+from test_life import program
+
+from standins.wire import HTTP, MSGPACK_RPC, Address, pack
+
+STOPPED_S = 3.0  # what a client that has stopped is owed its error or its close within
+HEAD_S = 2.0  # what a client may take for the head of a request
+BODY_RATE = 64_000  # bytes a second at which a body may come
+CHUNK_S = 1.0  # between two pieces of such a body
+PATIENCE_S = (
+    STOPPED_S + 0.5
+)  # how long a stopped client listens: long enough to tell late from never in the report
+
+POST = request("pay", body=b"a declaration", X_Call_Id="stopped")
+CHUNKED = request(
+    "pay", X_Call_Id="chunked", Content_Length=None, Transfer_Encoding="chunked"
+)  # its body follows in chunks
+EXPECTING = request("pay", X_Call_Id="expecting", Content_Length="13", Expect="100-continue")
+LARGE = request("pay", X_Call_Id="large", Content_Length="999999")
+
+Stopped = Callable[[Address], Awaitable[float]]
+
+
+def _answers(first: str, headers: Head, body: bytes) -> bytes | None:
+    """A server that answers all but what is to be held."""
+    return None if "held" in first else answer(200, b"served")
+
+
+async def _seconds_to_word(one: Client) -> float:
+    """How long a client that has stopped hears nothing; infinity where it hears nothing at all."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            await one.reader.read(1)  # an error's first byte, or the end
+    except ConnectionError:
+        pass
+    except TimeoutError:
+        return math.inf
+    return loop.time() - began
+
+
+def _after(*pieces: bytes) -> Stopped:
+    """A client that sends these, a moment between them, and stops."""
+
+    async def stop(listen: Address) -> float:
+        one = await client(listen)
+        for piece in pieces:
+            one.writer.write(piece)
+            await asyncio.sleep(0.02)
+        waited = await _seconds_to_word(one)
+        one.close()
+        return waited
+
+    return stop
+
+
+def _after_an_answer(half: bytes) -> Stopped:
+    """A client whose connection has carried a request, and that stops in the middle of the next."""
+
+    async def stop(listen: Address) -> float:
+        one = await client(listen)
+        one.send(request(X_Call_Id=f"before-{id(one):x}"))
+        assert (await one.answer())[0] == 200
+        one.writer.write(half)
+        waited = await _seconds_to_word(one)
+        one.close()
+        return waited
+
+    return stop
+
+
+def _after_continue(listen: Address) -> Awaitable[float]:
+    """A client that is told to go on with its body, and does not."""
+
+    async def stop() -> float:
+        one = await client(listen)
+        one.writer.write(EXPECTING)
+        assert b" 100 " in await one.reader.readuntil(b"\r\n\r\n")
+        waited = await _seconds_to_word(one)
+        one.close()
+        return waited
+
+    return stop()
+
+
+HTTP_STOPS: Mapping[str, Stopped] = {
+    **{f"after {count} bytes": _after(POST[:count]) for count in range(1, len(POST), 11)},
+    "after its empty lines": _after(b"\r\n"),
+    "after an empty line and half a head": _after(b"\r\n", POST[:30]),
+    "in pieces": _after(POST[:10], POST[10:40], POST[40:90]),
+    "before the body": _after(POST[: POST.index(b"\r\n\r\n") + 4]),
+    "in a chunk's size": _after(CHUNKED, b"a"),
+    "in a chunk": _after(CHUNKED, b"a\r\nhalf"),
+    "before the last chunk": _after(CHUNKED, b"4\r\nhalf\r\n"),
+    "before the last empty line": _after(CHUNKED, b"4\r\nhalf\r\n0\r\n"),
+    "when told to go on": _after_continue,
+    "in a large body": _after(LARGE, bytes(200_000)),
+    "in the next request's head": _after_an_answer(POST[:30]),
+    "in the next request's body": _after_an_answer(POST[:-5]),
+    "after empty lines behind a request": _after_an_answer(b"\r\n\r\n"),
+}
+_MESSAGE = pack([0, 7, "pay", [{"id": "stopped", "budget": 5.0, "path": "/api/7f"}, b"a declaration"]])
+RPC_STOPS: Mapping[str, Stopped] = {
+    **{f"after {count} bytes": _after(_MESSAGE[:count]) for count in range(1, len(_MESSAGE), 7)},
+    "in pieces": _after(_MESSAGE[:2], _MESSAGE[2:9], _MESSAGE[9:30]),
+    "in the next message": _after_an_answer(_MESSAGE[:20]),
+}
+
+
+async def _stop_all(stops: Mapping[str, Stopped], listen: Address) -> dict[str, float]:
+    waited = await asyncio.gather(*(stop(listen) for stop in stops.values()))
+    return dict(zip(stops, waited, strict=True))
+
+
+@pytest.mark.parametrize(
+    ("protocol", "stops", "ends"),
+    [(HTTP, HTTP_STOPS, False), (MSGPACK_RPC, RPC_STOPS, False), (HTTP, HTTP_STOPS, True)],
+    ids=[HTTP, MSGPACK_RPC, "http while the program ends"],
+)
+def test_whoever_stops_anywhere_in_a_request_gets_an_error_or_a_close_in_time(
+    protocol: str, stops: Mapping[str, Stopped], ends: bool, tmp_path: Path
+) -> None:
+    async def scene() -> None:
+        async with program(tmp_path, FakeServer("s-0", _answers)) as (process, listen):
+            use(Pair(client=protocol))
+            holding = await client(listen)
+            holding.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="4.0"))
+            stopping = asyncio.create_task(_stop_all(stops, listen))
+            await asyncio.sleep(0.5)
+            if ends:
+                process.send_signal(signal.SIGTERM)
+            waited = await stopping
+            late = {where: seconds for where, seconds in waited.items() if seconds > STOPPED_S}
+            assert not late, f"{len(late)} of {len(waited)} heard nothing in time: {late}"
+            holding.close()
+
+    play(scene())
+
+
+@pytest.mark.parametrize("half", [b"GET /half", b"\x00\x01 junk\r\n\r\n"], ids=["half a request", "junk"])
+@pytest.mark.parametrize("served", [True, False])
+def test_a_request_before_what_never_becomes_one_still_gets_its_answer(
+    half: bytes, served: bool, tmp_path: Path
+) -> None:
+    # Both terms hold: the held request was read, so it is answered; who stopped behind it hears in time.
+    async def scene() -> None:
+        server = FakeServer("s-0", _answers)
+        async with program(tmp_path, server) as (_, listen):
+            one = await client(listen)
+            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
+            while not server.requests:
+                await asyncio.sleep(0.01)
+            one.send(half)
+            async with asyncio.timeout(STOPPED_S):
+                if served:
+                    await asyncio.sleep(0.3)
+                    server.answer_held(answer(200, b"served"))
+                status, *_ = await read_answer(one.reader)
+                assert status == (200 if served else 500)  # it may have run: failed, not refused
+                assert not await one.reader.read() or not served
+            one.close()
+
+    play(scene())
+
+
+def test_a_call_before_half_a_message_is_answered_and_the_client_hears_in_time(tmp_path: Path) -> None:
+    async def scene() -> None:
+        server = FakeServer("s-0", _answers)
+        async with program(tmp_path, server) as (_, listen):
+            use(Pair(client=MSGPACK_RPC))
+            one = await client(listen)
+            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
+            while not server.requests:
+                await asyncio.sleep(0.01)
+            one.writer.write(_MESSAGE[:20])
+            async with asyncio.timeout(STOPPED_S):
+                heard = [(await one.answer())[0], (await one.answer())[0]]
+            assert sorted(heard) == [408, 500]
+            one.close()
+
+    play(scene())
+
+
+def _pieces(data: bytes, count: int) -> Sequence[bytes]:
+    size = -(-len(data) // count)
+    return [data[start : start + size] for start in range(0, len(data), size)]
+
+
+async def _send_slowly(one: Client, pieces: Sequence[bytes], every_s: float) -> None:
+    for piece in pieces:
+        one.writer.write(piece)
+        await asyncio.sleep(every_s)
+
+
+def test_whoever_goes_on_as_slowly_as_is_allowed_is_served(tmp_path: Path) -> None:
+    # A head in 2 s, evenly or nearly all of it at the end, and then a body of 5 s in pieces a second apart.
+    async def scene() -> None:
+        body = bytes(5 * BODY_RATE)
+        data = request("pay", body=body, X_Call_Id="slow", budget="5.0")
+        head, size = data[: -len(body)], int(BODY_RATE * CHUNK_S)
+        ways = [_pieces(head, 20), [head[:1], head[1:]], [head[:-1], head[-1:]]]
+
+        async def ask(listen: Address, number: int, pieces: Sequence[bytes]) -> int:
+            one = await client(listen)
+            changed = [each.replace(b"slow", b"slw%d" % number) for each in pieces]
+            await _send_slowly(one, changed[:-1], HEAD_S / (len(pieces) - 1))
+            one.writer.write(changed[-1])
+            await _send_slowly(one, [body[at : at + size] for at in range(0, len(body), size)], CHUNK_S)
+            status = (await one.answer())[0]
+            one.close()
+            return status
+
+        async with program(tmp_path, FakeServer("s-0", _answers)) as (_, listen):
+            asked = [ask(listen, number, pieces) for number, pieces in enumerate(ways)]
+            assert await asyncio.gather(*asked) == [200] * len(ways)
+
+    play(scene())
+
+
+def test_calls_that_keep_coming_in_halves_are_all_answered(tmp_path: Path) -> None:
+    # Each write ends in the middle of a message, for longer than any one of them may take.
+    async def scene() -> None:
+        async with program(tmp_path, FakeServer("s-0", _answers)) as (_, listen):
+            use(Pair(client=MSGPACK_RPC))
+            one = await client(listen)
+            calls = [
+                pack([0, each, "pay", [{"id": f"c-{each}", "budget": 5.0, "path": "/api/7f"}, b"x"]])
+                for each in range(60)
+            ]
+            stream = b"".join(calls)
+            shift = len(calls[0]) // 2
+            step = len(stream) // len(calls)
+            cuts = [0, *range(shift, len(stream) - step, step), len(stream)]
+            answered = asyncio.create_task(_answers_to(one, len(calls)))
+            await _send_slowly(one, [stream[a:b] for a, b in zip(cuts, cuts[1:], strict=False)], 0.08)
+            assert await answered == [200] * len(calls)
+            one.close()
+
+    async def _answers_to(one: Client, count: int) -> list[int]:
+        return [(await one.answer())[0] for _ in range(count)]
+
+    play(scene())
