A client that stops in the middle of a request hears within 3 s, in every state

Cause: each state of a client's connection had a limit of its own, a constant that knew nothing of what clients are owed: 5 s for a head or a message, 10 s for a body. Its clock was the state's and not the request's: it began anew with a state, stood still behind a held request (HTTP looked no further than a second request's head), counted for a body that this process itself had paused, and ended calls of MessagePack-RPC whose halves kept coming. What passed it behind a held request ended that with no answer. Change: core/connection_states.py has the states, one table of limits, and PartialRequest, the one owner of the time that a request may take to come: 2.5 s since its last byte, 2.75 s in all for a head (2 s are allowed), a body not under 32 kB/s behind that (64 kB/s are allowed), standing still while this process reads no further; it goes with the request from state to state. A request held before half a request or junk is answered: served while there is time, else failed.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -24,6 +24,8 @@
     "interface.py",
     "balancer.py",
     "core/call.py",
+    "core/connection_states.py",
+    "core/counters.py",
     "core/driver.py",
     "core/listener.py",
     "core/net.py",
--- /dev/null
+++ b/topazbank/core/counters.py
@@ -0,0 +1,70 @@
+"""Counters of what this process did to its clients, and of its own broken promises; no I/O.
+
+The log says which connection and request, and is cut under a flood; the counters are whole.  A violation is a defect of
+this program: it is counted and logged where it is found, and nothing else depends on it.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Mapping
+from enum import Enum, unique
+from typing import Final
+
+log = logging.getLogger(__name__)
+
+_LOGGED_MOST: Final = 20  # lines about each violation; beyond it they are counted alone
+
+
+@unique
+class Event(Enum):
+    """What is counted."""
+
+    REQUEST_REJECTED = "request_rejected"  # by its client's own fault, with an error
+    REQUEST_TIMED_OUT = "request_timed_out"  # its client stopped in the middle, or was too slow
+    HELD_FAILED_FOR_PARTIAL = "held_failed_for_partial"  # answered early: what is behind it was overdue
+    CONNECTION_TIMED_OUT = "connection_timed_out"  # at rest, or its client takes no answer
+    CONNECTION_MADE_ROOM = "connection_made_room"
+    CONNECTION_REFUSED_UNREAD = "connection_refused_unread"
+    CLIENT_LEFT = "client_left"  # with a request that was held
+
+
+@unique
+class Violation(Enum):
+    """Promises of this program, broken by itself."""
+
+    STOPPED_CLIENT_UNHEARD = "stopped_client_unheard"  # for longer than it may go without a word
+    CLOSED_UNANSWERED = "closed_unanswered"  # a connection of which a request was read
+    ANSWERED_LATE = "answered_late"
+    SENT_FOR_NOBODY = "sent_for_nobody"  # an attempt whose client has left, or has its answer
+    TOO_MANY_ATTEMPTS = "too_many_attempts"
+    BUDGET_BEYOND_CLIENT = "budget_beyond_client"  # a server is told more time than its client has left
+    LIMITS_NOT_LOOKED_AT = "limits_not_looked_at"  # a look at connections' limits failed
+
+
+class Counters:
+    """The counters of one process."""
+
+    def __init__(self) -> None:
+        self._events: Counter[Event] = Counter()
+        self._violations: Counter[Violation] = Counter()
+
+    def count(self, event: Event) -> None:
+        self._events[event] += 1
+
+    def violated(self, violation: Violation, about: str) -> None:
+        """Count a broken promise; `about`: whose, for the log."""
+        self._violations[violation] += 1
+        if self._violations[violation] <= _LOGGED_MOST:
+            log.error("violation %s: %s", violation.value, about)
+
+    def of(self, violation: Violation) -> int:
+        return self._violations[violation]
+
+    def show(self) -> Mapping[str, Mapping[str, int]]:
+        """All that there are, by name."""
+        return {
+            "events": {each.value: self._events[each] for each in Event},
+            "violations": {each.value: self._violations[each] for each in Violation},
+        }
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -8,12 +8,20 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import socket
-from collections.abc import Callable
-from enum import Enum, auto
+from collections.abc import Callable, Iterator
 
 from topazbank.core.call import Hooks, Rulebook
+from topazbank.core.connection_states import (
+    LIMITS_S,
+    PARTIAL_STATES,
+    SWEEP_S,
+    ConnectionState,
+    PartialRequest,
+)
+from topazbank.core.counters import Counters, Event, Violation
 from topazbank.core.net import Address, Reader, has_ended, is_quiet
 from topazbank.operation.drain import Orders
 
@@ -22,7 +30,6 @@
 _BACKLOG = 512
 _ACCEPTED_AT_ONCE = 64  # connections, before others are looked at again
 _ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
-_SWEEP_S = 0.1  # how often connections are looked at for their limits
 _YOUNG_S = 0.1  # a connection that moved so lately may have its request on the way: others make room first
 _IDLE_S = 1.0  # one that has said nothing for so long was hardly opened for a request
 _HALTED_S = 2.2  # and a head that has gone no further for so long is hardly going to: a client may take 2 s
@@ -39,57 +46,35 @@
 _BINARY = 0x80  # first bytes from here on are MessagePack's arrays; no HTTP method has one
 
 
-class Phase(Enum):
-    """What a client's connection is about; each phase but OPEN has a limit."""
-
-    NEW = auto()  # nothing has come on it
-    WAITING = auto()  # a request has begun to come, and its head is not here yet
-    COMING = auto()  # a request's head is here, and its body comes
-    OPEN = auto()  # a request is held; the driver answers it in its time
-    BEHIND = auto()  # the same, and half a request waits behind it
-    TAKING = auto()  # its client takes a large answer, and has not taken what is here
-    RESTING = auto()  # it has carried requests, and nothing comes
-    KEPT = auto()  # the same, of a protocol whose clients hold on to their connections
-    LEAVING = auto()  # its last answer is still being taken
-
-
-LIMITS_S = {
-    Phase.NEW: 5.0,  # a client may take 2 s for a head
-    Phase.WAITING: 5.0,  # since the last byte
-    Phase.COMING: 10.0,  # since the last byte
-    Phase.BEHIND: 2.0,
-    Phase.TAKING: 60.0,  # at 64 kB a second the kernel asks for more only every so often
-    Phase.RESTING: 2.0,
-    Phase.KEPT: 60.0,
-    Phase.LEAVING: 5.0,
-}
-# Who makes room, and how long it must have been in its phase, or gone no further in it.
+# Who makes room, and how long it must have been in its state, or gone no further in it.
 _ROOM_BY = (
-    (Phase.LEAVING, 0.0),
-    (Phase.NEW, _IDLE_S),
-    (Phase.WAITING, _HALTED_S),
-    (Phase.RESTING, _YOUNG_S),
-    (Phase.KEPT, _YOUNG_S),
-    (Phase.NEW, _YOUNG_S),
-    (Phase.RESTING, 0.0),
-    (Phase.KEPT, 0.0),
-    (Phase.WAITING, _IDLE_S),
-    (Phase.COMING, _HALTED_S),
-    (Phase.NEW, 0.0),
-    (Phase.WAITING, _YOUNG_S),
+    (ConnectionState.CLOSING, 0.0),
+    (ConnectionState.NEW, _IDLE_S),
+    (ConnectionState.READING_HEAD, _HALTED_S),
+    (ConnectionState.IDLE, _YOUNG_S),
+    (ConnectionState.IDLE_KEPT, _YOUNG_S),
+    (ConnectionState.NEW, _YOUNG_S),
+    (ConnectionState.IDLE, 0.0),
+    (ConnectionState.IDLE_KEPT, 0.0),
+    (ConnectionState.READING_HEAD, _IDLE_S),
+    (ConnectionState.READING_BODY, _HALTED_S),
+    (ConnectionState.NEW, 0.0),
+    (ConnectionState.READING_HEAD, _YOUNG_S),
 )
-_AT_REST = (Phase.RESTING, Phase.KEPT)
-_CLOSABLE = (Phase.NEW, Phase.WAITING, *_AT_REST)
-_NOT_BUSY = (*_AT_REST, Phase.COMING, Phase.TAKING, Phase.LEAVING)
+_AT_REST = (ConnectionState.IDLE, ConnectionState.IDLE_KEPT)
+_CLOSABLE = (ConnectionState.NEW, ConnectionState.READING_HEAD, *_AT_REST)
+_NOT_BUSY = (*_AT_REST, ConnectionState.READING_BODY, ConnectionState.SENDING, ConnectionState.CLOSING)
 
 
 class ClientConnection(Reader):
     """One connection of a client; what it speaks is in the class made of this one."""
 
-    phase = Phase.NEW
+    state = ConnectionState.NEW
+    partial: PartialRequest | None = None  # the request that has begun to come, and is not here yet
 
     def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
         self._frontend = frontend
+        self.number = frontend.next_number()  # for the log
         self._sock = sock
         self._transport: asyncio.Transport | None = None
 
@@ -107,7 +92,7 @@
 
     def is_idle(self) -> bool:
         """Whether it may be closed: no request is held, begun or waiting unread."""
-        return self.phase in _CLOSABLE and self.is_quiet()
+        return self.state in _CLOSABLE and self.is_quiet()
 
     def can_go(self) -> bool:
         """Whether ending it at once loses nothing: all it was told is written, and nothing it said is unread or held.
@@ -116,7 +101,7 @@
         """
         if self._transport is not None and self._transport.get_write_buffer_size():
             return False
-        return self.is_idle() if self.phase in _AT_REST else self.is_quiet()
+        return self.is_idle() if self.state in _AT_REST else self.is_quiet()
 
     def has_left(self) -> bool:
         """Whether its client has gone: asked of the kernel, as nothing may be read for now (what came is bounded).
@@ -130,6 +115,14 @@
         self.abort()
         return True
 
+    def describe(self) -> str:
+        """This connection in a line of the log: its number, state, and how far its request has come."""
+        silent = ""
+        if self.partial is not None:
+            now = asyncio.get_running_loop().time()
+            silent = f", silent for {now - self.partial.silent_since:.2f} s"
+        return f"connection {self.number} ({self.state.name.lower()}{silent})"
+
     def close(self) -> None:
         if self._transport is not None:
             self._transport.close()
@@ -139,7 +132,7 @@
             self._transport.abort()
 
     def time_up(self) -> None:
-        """Its phase has lasted for as long as it may."""
+        """Its state has lasted for as long as it may, or its partial request has taken that long."""
         raise NotImplementedError
 
 
@@ -184,6 +177,7 @@
         text: Speaks,
         binary: Speaks | None = None,
         sock: socket.socket | None = None,
+        counters: Counters | None = None,
     ) -> None:
         """`text` makes the connections that begin with a letter, `binary` the others; with none all are text.
 
@@ -191,14 +185,18 @@
         """
         self.hooks = hooks
         self.rules = rules
+        self.counters = counters or Counters()
+        self._numbers = itertools.count(1)
         self._text = text
         self._binary = binary
         self.draining = False
         self.stopped = False  # whether no new connection is taken any more
         self._most = most
         self._most_at_rest = max(most // 3, 1)  # clients may keep for good what they will not use again
-        # The connections of each phase and since when they are in it, the longest first; `_most` in all.
-        self._phases: dict[Phase, dict[ClientConnection, float]] = {phase: {} for phase in Phase}
+        # The connections of each state and since when they are in it, the longest first; `_most` in all.
+        self._by_state: dict[ConnectionState, dict[ClientConnection, float]] = {
+            state: {} for state in ConnectionState
+        }
         self._most_busy = float(most)  # connections that may carry requests: fewer while all is late
         self._may_end = 0.0  # new connections that may be ended unread by now
         self._sweep_due = 0.0
@@ -215,7 +213,11 @@
 
     @property
     def connections(self) -> list[ClientConnection]:
-        return [each for phase in self._phases.values() for each in phase]
+        return [each for state in self._by_state.values() for each in state]
+
+    def next_number(self) -> int:
+        """A number for a connection, unique in this process."""
+        return next(self._numbers)
 
     def speaks(self, first: int) -> Speaks:
         """What a connection that begins with this byte speaks."""
@@ -275,7 +277,7 @@
             await loop.connect_accepted_socket(lambda: speaks(self, sock), sock)
 
     def _count(self) -> int:
-        return sum(map(len, self._phases.values())) + len(self._starting)
+        return sum(map(len, self._by_state.values())) + len(self._starting)
 
     def _make_room(self) -> bool:
         """End a connection that holds no request, by what it has done, and only then by age.
@@ -286,36 +288,61 @@
         """
         now = asyncio.get_running_loop().time()
         chosen = None
-        for phase, least_s in _ROOM_BY:
-            chosen = chosen or self._that_can_go(phase, now - least_s)
+        for state, least_s in _ROOM_BY:
+            chosen = chosen or self._that_can_go(state, now - least_s)
         if chosen is None:
             return False
+        self.counters.count(Event.CONNECTION_MADE_ROOM)
         self.lost(chosen)
         chosen.abort()
         return True
 
-    def _that_can_go(self, phase: Phase, before: float) -> ClientConnection | None:
-        """The longest in a phase, and since before this time, whose end loses nothing."""
-        for _, (connection, since) in zip(range(_TRIED_FOR_ROOM), self._phases[phase].items(), strict=False):
+    def _that_can_go(self, state: ConnectionState, before: float) -> ClientConnection | None:
+        """The longest in a state, and since before this time, whose end loses nothing."""
+        for _, (connection, since) in zip(
+            range(_TRIED_FOR_ROOM), self._by_state[state].items(), strict=False
+        ):
             if since <= before and connection.can_go():
                 return connection
         return None
 
     def _sweep(self) -> None:
-        """End what has passed the limit of its phase."""
-        loop = asyncio.get_running_loop()
-        for phase, limit in LIMITS_S.items():
-            for connection, since in list(self._phases[phase].items()):
-                if since + limit > loop.time():
-                    break  # those behind it came later
-                connection.time_up()
-        late = loop.time() > self._sweep_due + _LAG_MOST_S
+        """End what has passed its limit."""
+        now = asyncio.get_running_loop().time()
+        late = now > self._sweep_due + _LAG_MOST_S
+        self._sweep_later()  # first: whatever fails below, limits are looked at again
+        for connection in list(self._overdue(now)):
+            self._end_overdue(connection)
         self._most_busy *= _BUSY_LESS if late else _BUSY_MORE
         self._most_busy = max(_LEAST_BUSY, min(self._most_busy, self._most))
-        self._sweep_later()
+
+    def _overdue(self, now: float) -> Iterator[ClientConnection]:
+        """Connections whose state has lasted too long, or whose client has stopped in the middle of a request."""
+        for state, limit in LIMITS_S.items():
+            for connection, since in self._by_state[state].items():
+                if since + limit > now:
+                    break  # those behind it came later
+                yield connection
+        for state in PARTIAL_STATES:
+            for connection in self._by_state[state]:
+                partial = connection.partial
+                if partial is None or not partial.is_overdue(now):
+                    continue
+                if partial.is_unheard(now):
+                    self.counters.violated(Violation.STOPPED_CLIENT_UNHEARD, connection.describe())
+                yield connection
+
+    def _end_overdue(self, connection: ClientConnection) -> None:
+        try:
+            connection.time_up()
+        except Exception:  # a defect: it ends this connection, and keeps no other from its limit
+            log.exception("%s could not be ended in order", connection.describe())
+            self.counters.violated(Violation.LIMITS_NOT_LOOKED_AT, connection.describe())
+            self.lost(connection)
+            connection.abort()
 
     def _sweep_later(self) -> None:
-        self._sweep_due = asyncio.get_running_loop().time() + _SWEEP_S
+        self._sweep_due = asyncio.get_running_loop().time() + SWEEP_S
         asyncio.get_running_loop().call_at(self._sweep_due, self._sweep)
 
     def _ends_unread(self) -> bool:
@@ -327,31 +354,32 @@
         if self._may_end < 1.0 or not self._is_swamped():
             return False
         self._may_end -= 1.0
+        self.counters.count(Event.CONNECTION_REFUSED_UNREAD)
         return True
 
     def _is_swamped(self) -> bool:
         """Whether the CPU falls behind with the connections that carry requests."""
-        at_rest = sum(len(self._phases[phase]) for phase in _NOT_BUSY)
+        at_rest = sum(len(self._by_state[state]) for state in _NOT_BUSY)
         return self._count() - at_rest >= self._most_busy
 
     def opened(self, connection: ClientConnection) -> None:
-        self._phases[connection.phase][connection] = asyncio.get_running_loop().time()
+        self._by_state[connection.state][connection] = asyncio.get_running_loop().time()
 
-    def move(self, connection: ClientConnection, phase: Phase, again: bool = False) -> None:
-        """Note a connection's phase; one that it is in already goes on, or with `again` begins anew."""
-        if (again or connection.phase is not phase) and self._phases[connection.phase].pop(
+    def move(self, connection: ClientConnection, state: ConnectionState, again: bool = False) -> None:
+        """Note a connection's state; one that it is in already goes on, or with `again` begins anew."""
+        if (again or connection.state is not state) and self._by_state[connection.state].pop(
             connection, None
         ) is not None:
-            connection.phase = phase
+            connection.state = state
             self.opened(connection)
-            if phase in _AT_REST and len(self._phases[phase]) > self._most_at_rest:
-                oldest = self._that_can_go(phase, asyncio.get_running_loop().time())
+            if state in _AT_REST and len(self._by_state[state]) > self._most_at_rest:
+                oldest = self._that_can_go(state, asyncio.get_running_loop().time())
                 if oldest is not None:
                     self.lost(oldest)
                     oldest.close()
 
     def lost(self, connection: ClientConnection) -> None:
-        self._phases[connection.phase].pop(connection, None)
+        self._by_state[connection.state].pop(connection, None)
 
     def follow(self, orders: Orders) -> None:
         """Carry out what holds while the sidecar is emptied, or is not any more: a request that crosses comes again."""
@@ -368,11 +396,11 @@
         limit.  Its client comes again, where others are served.
         """
         halted = asyncio.get_running_loop().time() - _DRAIN_HALTED_S
-        for phase in _CLOSABLE:
-            for connection, since in list(self._phases[phase].items()):
-                if used and phase not in _AT_REST:
+        for state in _CLOSABLE:
+            for connection, since in list(self._by_state[state].items()):
+                if used and state not in _AT_REST:
                     continue
-                stuck = phase is Phase.WAITING and since < halted and connection.is_quiet()
+                stuck = state is ConnectionState.READING_HEAD and since < halted and connection.is_quiet()
                 if stuck or connection.is_idle():
                     connection.close()
 
--- a/topazbank/http/front.py
+++ b/topazbank/http/front.py
@@ -25,7 +25,9 @@
     Verdict,
     target_key,
 )
-from topazbank.core.listener import ClientConnection, Frontend, Phase
+from topazbank.core.connection_states import ConnectionState, PartialRequest
+from topazbank.core.counters import Event
+from topazbank.core.listener import ClientConnection, Frontend
 from topazbank.core.net import has_ended
 from topazbank.http.connection import ABOUT_BODY, data_of, end_to_end, message
 from topazbank.http.whole import RequestHead, read_request
@@ -37,8 +39,6 @@
 _ROSTER_PATH = b"/admin/roster"
 # Bytes read and dropped of what comes after a rejection, so that its answer arrives.
 _DROPPED_MOST = 128 * BODY_MOST
-_HEAD_S = 10.0  # what a head may take in all: a client may take 2 s
-_BODY_S = 600.0  # and a whole request: 32 MB at 64 kB a second, and some more
 _REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed"}
 _SINGLE = frozenset(  # headers that mean one thing: given twice, they may mean another to a server
     (
@@ -122,6 +122,18 @@
     return float(text)
 
 
+def _is_whole(data: bytes) -> bool:
+    """Whether a request has come whole; raise h11.RemoteProtocolError where it never will."""
+    reading = h11.Connection(h11.SERVER)
+    reading.receive_data(data)
+    while True:
+        event = reading.next_event()
+        if event is h11.NEED_DATA:
+            return False
+        if not isinstance(event, h11.Request | h11.Data):
+            return True  # its end, or that of the connection
+
+
 class HttpConnection(ClientConnection):
     """One HTTP connection of a client; it carries one request at a time."""
 
@@ -130,12 +142,12 @@
         self._h11 = h11.Connection(h11.SERVER)
         self._head: h11.Request | RequestHead | None = None
         self._body = Intake(frontend.hooks.spool)
-        self._begun_at: float | None = None  # when the first byte of a request came that is not whole yet
         self._call: Call | None = None
         self._stream: Stream | None = None  # the large answer that is passed on
         self._chunked = False  # and whether in chunks
         self._ends = False  # and whether the connection ends with it
         self._stuck = False  # the last answer is not all written yet
+        self._unreadable: str | None = None  # why what came behind the held request never becomes one
         self._dropped: int | None = (
             None  # bytes that came after its end, which are not read; None: it goes on
         )
@@ -147,6 +159,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
+        if self._call is not None:
+            self._frontend.counters.count(Event.CLIENT_LEFT)
+            log.debug("%s: its client left, request %s", self.describe(), self._call.ident)
         self._client_gone()
 
     def eof_received(self) -> bool:
@@ -169,12 +184,14 @@
                 return
             data = data.lstrip(b"\r\n")  # empty lines ahead of a request are passed over (RFC 9112, 2.2)
         if not data:
+            if self.state is ConnectionState.NEW:
+                self._goes_on(0)
             return
         self._h11.receive_data(data)
         if self._call is not None or self._stream is not None:
-            self._look_ahead()
+            self._look_ahead(len(data))
         elif not self._stuck:
-            self._read()
+            self._read(len(data))
         elif len(self._h11.trailing_data[0]) > BODY_MOST and self._transport is not None:
             self._transport.pause_reading()
 
@@ -182,16 +199,16 @@
         self._stuck = True
         if self._stream is not None:
             self._stream.pause(True)
-            self._frontend.move(self, Phase.TAKING)
+            self._frontend.move(self, ConnectionState.SENDING)
 
     def resume_writing(self) -> None:
         self._stuck = False
         if self._stream is not None:
-            self._frontend.move(self, Phase.OPEN)
+            self._frontend.move(self, ConnectionState.HOLDING)
             self._stream.pause(False)
             return
         if self._dropped is not None:
-            self._frontend.move(self, Phase.LEAVING)  # all is taken: its client has to end its side
+            self._frontend.move(self, ConnectionState.CLOSING)  # all is taken: its client has to end its side
         elif self._call is None:
             self._next_request()
 
@@ -201,29 +218,65 @@
         return not begun and super().is_idle()
 
     def time_up(self) -> None:
-        """Its phase has lasted for as long as it may."""
-        if self.phase in (Phase.BEHIND, Phase.LEAVING, Phase.TAKING):
+        """Its state has lasted for as long as it may, or its partial request has taken that long."""
+        counters = self._frontend.counters
+        if self.state is ConnectionState.HOLDING_PARTIAL:
+            self._fail_held()
+        elif self.state in (ConnectionState.CLOSING, ConnectionState.SENDING):
+            counters.count(Event.CONNECTION_TIMED_OUT)
+            log.info("%s ended: its client takes no answer", self.describe())
             self.abort()
         elif self.is_idle():
+            counters.count(Event.CONNECTION_TIMED_OUT)
             self.close()
-        elif self.phase in (Phase.NEW, Phase.WAITING, Phase.COMING) and self.is_quiet():
-            self._reject(BadCall(408, "the request took too long to come"))
+        elif self.partial is not None and self.is_quiet():
+            self._time_out()
+
+    def _time_out(self) -> None:
+        """Its client has stopped in the middle of a request, or sends it too slowly."""
+        self._frontend.counters.count(Event.REQUEST_TIMED_OUT)
+        self._reject(BadCall(408, "the request took too long to come"))
+
+    def _fail_held(self) -> None:
+        """Answer the held request now, as failed, since it may have run.
+
+        Its client has stopped behind it and is owed a word; and what was read is owed an answer.
+        """
+        if self._call is None:
+            return
+        self._frontend.counters.count(Event.HELD_FAILED_FOR_PARTIAL)
+        log.info("%s: request %s is failed for what is behind it", self.describe(), self._call.ident)
+        self._client_gone()
+        self._answer(500, [], b"", ends=True)
 
-    def _look_ahead(self) -> None:
-        """See what came behind the request that is held: what can't be read ends the connection at once."""
+    def _look_ahead(self, count: int = 0) -> None:
+        """See what waits behind the request that is held; `count` bytes of it came now."""
         behind = self._h11.trailing_data[0].lstrip(b"\r\n")
-        ahead = h11.Connection(h11.SERVER)
-        ahead.receive_data(behind)
+        now = asyncio.get_running_loop().time()
+        if self.partial is None:
+            self.partial = PartialRequest(now)
         try:
-            whole = ahead.next_event() is not h11.NEED_DATA
+            here = _is_whole(behind)
         except h11.RemoteProtocolError as bad:
-            log.info("connection ended: %s", bad)
-            self.abort()
-            return
+            self._unreadable = str(bad)
+            self._pause_reading()  # the held request is answered, and the connection ends with that
+            here = False
+        else:
+            self.partial.progressed(now, count)
+        if here or not behind:
+            self.partial = None
+        elif len(behind) > BODY_MOST:
+            self.partial.pause(now)  # it sends ahead; what is held is bounded
+        if len(behind) > BODY_MOST:
+            self._pause_reading()
         if self._stream is None:
-            self._frontend.move(self, Phase.OPEN if whole else Phase.BEHIND)
-        if len(behind) > BODY_MOST and self._transport is not None:
-            self._transport.pause_reading()  # it sends ahead; what is held is bounded
+            waits = self.partial is not None and not self.partial.is_paused
+            held = ConnectionState.HOLDING_PARTIAL if waits else ConnectionState.HOLDING
+            self._frontend.move(self, held)
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None:
+            self._transport.pause_reading()
 
     def _is_fresh(self) -> bool:
         """Whether nothing of a request has come and none is held."""
@@ -231,22 +284,28 @@
             return False
         return self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]
 
-    def _read(self) -> None:
-        """Take what has come, up to the end of one request."""
+    def _read(self, count: int = 0) -> None:
+        """Take what has come, up to the end of one request; `count` bytes of it came now."""
         self._take(self._events)
         if self._head is None and not self._h11.trailing_data[0]:
-            self._begun_at = None
+            self.partial = None
         elif self._call is None and self._stream is None and self._dropped is None:
-            self._goes_on()
+            self._goes_on(count)
 
-    def _goes_on(self) -> None:
-        """A part of a request has come: its phase begins anew, within what the whole may take."""
+    def _goes_on(self, count: int) -> None:
+        """A part of a request is here, of which so many bytes came now."""
         now = asyncio.get_running_loop().time()
-        self._begun_at = now if self._begun_at is None else self._begun_at
-        if now - self._begun_at > (_HEAD_S if self._head is None else _BODY_S):
-            self._reject(BadCall(408, "the request took too long to come"))
-        else:
-            self._frontend.move(self, Phase.WAITING if self._head is None else Phase.COMING, again=True)
+        if self.partial is None:
+            self.partial = PartialRequest(now)
+        if count:
+            self.partial.progressed(now, count)
+        if self._head is not None:
+            self.partial.head_came(now)
+        if self.partial.is_overdue(now):
+            self._time_out()
+            return
+        reads = ConnectionState.READING_HEAD if self._head is None else ConnectionState.READING_BODY
+        self._frontend.move(self, reads, again=True)
 
     def _events(self) -> None:
         while self._next_event():
@@ -298,7 +357,7 @@
         """A request has come whole."""
         head = self._head
         assert head is not None
-        self._begun_at = None
+        self.partial = None
         path = own_form(head.target).partition(b"?")[0]
         try:
             self._serve(head, path, body)
@@ -319,12 +378,16 @@
                 raise BadCall(409, "x-call-id is that of another request, which is still out")
             call.has_left = self.has_left
             self._call = call
-            self._frontend.move(self, Phase.OPEN)
+            self._frontend.move(self, ConnectionState.HOLDING)
             self._frontend.hooks.taken(call)
+            if self._call is call and self._h11.trailing_data[0]:
+                self._look_ahead()
 
     def _reject(self, bad: BadCall) -> None:
         """Turn the request away and end the connection: nothing more is expected of this client."""
-        log.info("request rejected: %s", bad)
+        self._frontend.counters.count(Event.REQUEST_REJECTED)
+        log.info("%s: request rejected: %s", self.describe(), bad)
+        self.partial = None
         self._client_gone()
         self._answer(bad.status, [(b"Content-Type", b"text/plain")], f"{bad}\n".encode(), ends=True)
 
@@ -360,17 +423,17 @@
     def _must_end(self) -> bool:
         """Whether the connection ends with this answer."""
         read = isinstance(self._head, RequestHead) or self._h11.their_state is h11.DONE
-        return self._frontend.draining or not read
+        return self._frontend.draining or self._unreadable is not None or not read
 
-    def _over(self, ends: bool, rest: Phase = Phase.LEAVING) -> None:
+    def _over(self, ends: bool, rest: ConnectionState = ConnectionState.CLOSING) -> None:
         """An answer is written: turn to what came behind its request, or end.
 
-        `rest`: the phase, and so the limit, of what its client has not taken yet.
+        `rest`: the state, and so the limit, of what its client has not taken yet.
         """
         if self._transport is None or self._transport.is_closing():
             return
         if ends:
-            self._linger(rest if self._stuck else Phase.LEAVING)
+            self._linger(rest if self._stuck else ConnectionState.CLOSING)
             return
         behind = self._h11.trailing_data[0]
         if behind or self._h11.their_state is not h11.IDLE:
@@ -378,7 +441,7 @@
             behind = behind.lstrip(b"\r\n")
             if behind:
                 self._h11.receive_data(behind)
-        self._frontend.move(self, rest if self._stuck else Phase.RESTING)
+        self._frontend.move(self, rest if self._stuck else ConnectionState.IDLE)
         if not self._stuck and (behind or not self._transport.is_reading()):
             asyncio.get_running_loop().call_soon(self._next_request)
 
@@ -404,6 +467,7 @@
         self._head = None
         self._stream = stream
         stream.taker = self
+        self._frontend.move(self, ConnectionState.HOLDING)
         self._transport.write(message(b"HTTP/1.1 200 OK", headers) + self._framed(stream.first))
 
     def _framed(self, data: bytes) -> bytes:
@@ -424,7 +488,7 @@
             return
         if self._chunked:
             self._transport.write(b"0\r\n\r\n")
-        self._over(self._ends, Phase.TAKING)
+        self._over(self._ends or self._unreadable is not None, ConnectionState.SENDING)
 
     def _reset(self) -> None:
         """End with a reset: to a client of HTTP/1.0 an end would say that the answer is whole."""
@@ -432,12 +496,14 @@
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.abort()
 
-    def _linger(self, phase: Phase = Phase.LEAVING) -> None:
+    def _linger(self, state: ConnectionState = ConnectionState.CLOSING) -> None:
         """End our side and drop what still comes: closing on unread bytes would reset the answer away."""
         if self._transport is not None and not self._transport.is_closing():
             self._dropped = 0
-            self._frontend.move(self, phase)
+            self.partial = None
+            self._frontend.move(self, state)
             self._transport.write_eof()
+            self._transport.resume_reading()
 
     def _drop(self, count: int) -> None:
         self._dropped = (self._dropped or 0) + count
@@ -450,8 +516,10 @@
             return
         if self._call is not None or self._stream is not None:
             return
-        self._frontend.move(self, Phase.RESTING)
+        self._frontend.move(self, ConnectionState.IDLE)
         self._transport.resume_reading()
+        if self.partial is not None:
+            self.partial.resume(asyncio.get_running_loop().time())
         self._read()
 
     def _client_gone(self) -> None:
--- a/topazbank/msgpackrpc/front.py
+++ b/topazbank/msgpackrpc/front.py
@@ -13,8 +13,10 @@
 from functools import partial
 from typing import ClassVar
 
-from topazbank.core.call import Answer, BadCall, Call, Verdict
-from topazbank.core.listener import ClientConnection, Frontend, Phase
+from topazbank.core.call import FAILED, Answer, BadCall, Call, Verdict
+from topazbank.core.connection_states import ConnectionState, PartialRequest
+from topazbank.core.counters import Event
+from topazbank.core.listener import ClientConnection, Frontend
 from topazbank.core.net import has_ended
 from topazbank.msgpackrpc.codec import (
     MSGID_MOST,
@@ -58,6 +60,7 @@
         self._dropped = 0  # bytes behind what broke the connection
         self._used = False  # whether it has carried a call
         self._broken = False
+        self._told_off = False  # whether its client has had the error that what broke it is owed
         self._waiting = 0  # of _waiting_in_all, this connection's
         self._stuck: asyncio.TimerHandle | None = None
 
@@ -72,6 +75,7 @@
         self._broken, self._coming = True, None
         calls, self._calls = list(self._calls.values()), {}
         if calls:
+            self._frontend.counters.count(Event.CLIENT_LEFT)
             self._frontend.hooks.gone(calls)
 
     def eof_received(self) -> bool:
@@ -82,13 +86,36 @@
         return not begun and super().is_idle()
 
     def time_up(self) -> None:
-        if self.phase is Phase.LEAVING:
+        if self.state is ConnectionState.CLOSING:
+            self._frontend.counters.count(Event.CONNECTION_TIMED_OUT)
             self.abort()
-        elif self._decoder.pending:
-            self._break("half a message", BadCall(408, "the message took too long to come"))
+        elif self._broken:
+            self._fail_held()
+        elif self.partial is not None:
+            if self.is_quiet():
+                self._time_out()
         elif self.is_idle():
+            self._frontend.counters.count(Event.CONNECTION_TIMED_OUT)
             self.close()
 
+    def _time_out(self) -> None:
+        """Its client has stopped in the middle of a message, or sends it too slowly."""
+        self._frontend.counters.count(Event.REQUEST_TIMED_OUT)
+        self._break("half a message", BadCall(408, "the message took too long to come"))
+        if not self._told_off:
+            self._fail_held()
+
+    def _fail_held(self) -> None:
+        """Answer all calls now: their client is owed a word, and no error can name what it has stopped in."""
+        calls, self._calls = self._calls, {}
+        if calls:
+            self._frontend.counters.count(Event.HELD_FAILED_FOR_PARTIAL)
+            log.info("%s: %d calls are failed for what is behind them", self.describe(), len(calls))
+            self._frontend.hooks.gone(list(calls.values()))
+        for msgid in calls:
+            self._write(write_answer(msgid, FAILED))
+        self._settle()
+
     # -- What comes ------------------------------------------------------------------------------------
 
     def data_received(self, data: bytes) -> None:
@@ -101,10 +128,13 @@
             self.abort()  # its client has left while this waited here
             return
         self._coming = self._decoder.feed(data)
-        self._go_on()
+        self._go_on(len(data))
+
+    def _go_on(self, count: int = 0) -> None:
+        """Take the messages of the last read, as many as one turn and the bound on calls allow.
 
-    def _go_on(self) -> None:
-        """Take the messages of the last read, as many as one turn and the bound on calls allow."""
+        `count`: bytes that came now.
+        """
         self._turn = None
         if self._coming is None or self._broken or self._stuck is not None:
             return
@@ -123,13 +153,29 @@
             self._coming = None
             self._break(str(junk), BadCall(413 if junk.too_long else 400, str(junk)), junk.msgid)
             return
-        self._note_phase()
+        self._note_partial(count, begins=taken > 0)
+        if self._broken:
+            return
+        self._note_state()
         if self._coming is None:
             self._resume_reading()
         else:
             self._pause_reading()
             self._go_on_later()
 
+    def _note_partial(self, count: int, begins: bool) -> None:
+        """Note how the message that is not whole yet comes along; `begins`: messages before it were taken now."""
+        now = asyncio.get_running_loop().time()
+        if self._coming is None and not self._decoder.pending:
+            self.partial = None
+            return
+        if self.partial is None or begins:
+            self.partial = PartialRequest(now, has_head=False)
+        elif count:
+            self.partial.progressed(now, count)
+        if self.partial.is_overdue(now):
+            self._time_out()
+
     def _go_on_later(self) -> None:
         if self._coming is not None and self._turn is None and len(self._calls) < CALLS_MOST:
             self._turn = asyncio.get_running_loop().call_soon(self._go_on)
@@ -198,18 +244,23 @@
         """Read no more: what is out is answered, then the connection ends."""
         if self._broken:
             return
-        log.info("connection read no further: %s", why)
+        log.info("%s: read no further: %s", self.describe(), why)
+        self._frontend.counters.count(Event.REQUEST_REJECTED)
         self._broken = True
         self._coming = None
         if bad is not None and msgid is None and self._decoder.pending:
             msgid = self._decoder.open_msgid()
         if bad is not None and msgid is not None and msgid not in self._calls:
             self._write(write_rejection(msgid, bad))
+            self._told_off = True
+        self.partial = None if self._told_off else PartialRequest(asyncio.get_running_loop().time(), False)
         self._settle()
 
     def _pause_reading(self) -> None:
         if self._transport is not None:
             self._transport.pause_reading()
+        if self.partial is not None:
+            self.partial.pause(asyncio.get_running_loop().time())
 
     # -- What goes -------------------------------------------------------------------------------------
 
@@ -221,7 +272,7 @@
             self._settle()
             return
         if not self._calls:
-            self._note_phase()
+            self._note_state()
         self._go_on_later()
 
     def _write(self, data: bytes) -> None:
@@ -265,26 +316,30 @@
     def _resume_reading(self) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
+        if self.partial is not None:
+            self.partial.resume(asyncio.get_running_loop().time())
 
-    # -- Phases ----------------------------------------------------------------------------------------
+    # -- States ----------------------------------------------------------------------------------------
 
-    def _note_phase(self) -> None:
+    def _note_state(self) -> None:
         """Note what the connection is about now."""
+        partial = self.partial is not None and self._coming is None
         if self._calls or self._coming is not None:
-            phase = Phase.BEHIND if self._decoder.pending and self._coming is None else Phase.OPEN
-        elif self._decoder.pending:
-            phase = Phase.WAITING
+            state = ConnectionState.HOLDING_PARTIAL if partial else ConnectionState.HOLDING
+        elif partial:
+            state = ConnectionState.READING_HEAD
         elif not self._used:
-            phase = Phase.NEW
+            state = ConnectionState.NEW
         else:
-            phase = Phase.KEPT
-        self._frontend.move(self, phase)
+            state = ConnectionState.IDLE_KEPT
+        self._frontend.move(self, state)
 
     def _settle(self) -> None:
         """Of a connection that is read no more: end it once all its calls are answered."""
         if self._calls:
-            self._frontend.move(self, Phase.OPEN)
+            held = ConnectionState.HOLDING if self._told_off else ConnectionState.HOLDING_PARTIAL
+            self._frontend.move(self, held)
         elif self._transport is not None and not self._transport.is_closing():
             # Our side ends, and what still comes is dropped: closing on unread bytes would reset the answers away.
-            self._frontend.move(self, Phase.LEAVING)
+            self._frontend.move(self, ConnectionState.CLOSING)
             self._transport.write_eof()
