One owner of what may be sent, written and answered now, which counts what breaks it

The conditions stood in the driver (_send), in each carrier (is_void, time left) and in the fronts, each a part of them. Change: core/request_rules.py decides before an attempt begins and again before its first byte goes: request over, client gone, time up, an unsafe request whose earlier attempt may have run, a server that left longer ago than the grace; it gives the time that a server is told, and hears each answer. What a caller should have seen to is denied and counted as a violation, with a line in the log. A connection that is ended over a request that was read and not answered is counted too. Lines say which client left which request, read or not, and why a request is not sent; counters are in the account of [admin] roster, and in the last line of a process that ends.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -31,6 +31,7 @@
     "core/net.py",
     "core/nodes.py",
     "core/reports.py",
+    "core/request_rules.py",
     "core/timers.py",
     "core/trace.py",
     "http/connection.py",
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -292,6 +292,8 @@
     await until(lambda: made.sidecar._balancer._begun)
     try:
         yield made
+        broken = {name: count for name, count in made.sidecar.counters.show()["violations"].items() if count}
+        assert not broken, f"promises broken at run time: {broken}"
     finally:
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
--- a/topazbank/core/call.py
+++ b/topazbank/core/call.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -83,6 +84,9 @@
     large: Large | None = None  # a body over BODY_MOST, in place of `body`
     streams: bool = False  # whether its front can pass on an answer that has only begun
     has_left: Callable[[], bool] = _is_here  # whether its client has gone, be that end read already or not
+    answer_by: float = math.inf  # when its client's time is up, on the event loop's clock
+    over: bool = False  # whether it has its answer, or its client has left
+    unproven: int = 0  # attempts that were let go to a server and are not proved never to have run
 
     def release(self) -> None:
         """Nothing is sent for it any more."""
--- a/topazbank/core/counters.py
+++ b/topazbank/core/counters.py
@@ -28,6 +28,7 @@
     CONNECTION_MADE_ROOM = "connection_made_room"
     CONNECTION_REFUSED_UNREAD = "connection_refused_unread"
     CLIENT_LEFT = "client_left"  # with a request that was held
+    CLIENT_LEFT_UNREAD = "client_left_unread"  # before its request was read
 
 
 @unique
@@ -38,7 +39,8 @@
     CLOSED_UNANSWERED = "closed_unanswered"  # a connection of which a request was read
     ANSWERED_LATE = "answered_late"
     SENT_FOR_NOBODY = "sent_for_nobody"  # an attempt whose client has left, or has its answer
-    TOO_MANY_ATTEMPTS = "too_many_attempts"
+    UNSAFE_RESENT = "unsafe_resent"  # though an earlier attempt may have run
+    SENT_TO_DRAINING = "sent_to_draining"  # after the grace
     BUDGET_BEYOND_CLIENT = "budget_beyond_client"  # a server is told more time than its client has left
     LIMITS_NOT_LOOKED_AT = "limits_not_looked_at"  # a look at connections' limits failed
 
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -21,12 +21,14 @@
 from topazbank.balancer import Balancer
 from topazbank.core.body import Spool
 from topazbank.core.call import FAILED, Answer, Call, Hooks, Response, Rulebook, Verdict
+from topazbank.core.counters import Counters
 from topazbank.core.listener import Frontend, Speaks
 from topazbank.core.listing import Listing
 from topazbank.core.members import Dialects, Listed, Source, Told
 from topazbank.core.net import Address
 from topazbank.core.nodes import HTTP, Attempt, Carrier, Nodes, Slots, Terms
 from topazbank.core.peers import Peers, Tier
+from topazbank.core.request_rules import Denied, RequestRules
 from topazbank.core.timers import Timer, Timers
 from topazbank.core.trace import Trace
 from topazbank.interface import (
@@ -209,6 +211,8 @@
         `tier`: what that process knows of the others.
         """
         self._settings = settings = config.settings
+        self.counters = Counters()
+        self._request_rules = RequestRules(self.counters, settings.rules)
         self._clock = clock or Clock()
         self._observer = wiring.observer(config, self._clock.now) if wiring.observer is not None else None
         self._balancer = Balancer(settings, config.seed, self._observer)
@@ -248,7 +252,9 @@
         ready = self.drain.is_ready
         hooks = Hooks(self._taken, self._gone, self._out.__contains__, ready, roster, self._spool)
         rules = Rulebook(settings)
-        self.frontend = Frontend(config.listen, half, hooks, rules, wiring.text, wiring.binary, clients)
+        self.frontend = Frontend(
+            config.listen, half, hooks, rules, wiring.text, wiring.binary, clients, self.counters
+        )
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
             Refuse: self._refuse,
@@ -372,7 +378,7 @@
         await self._over.wait()
         for live in list(self._by_call.values()):
             self._answer(live, FAILED)
-        log.info("drained")
+        log.info("drained; counters %s", json.dumps(self.counters.show()))
 
     @property
     def listening(self) -> list[socket.socket]:
@@ -451,7 +457,7 @@
         self._out.add(call.ident)
         if self._observer is not None:
             self._observer.arrived(call.kind.name)
-        at = self._clock.on_loop(live.answer_by)
+        at = call.answer_by = self._clock.on_loop(live.answer_by)
         live.backstop = self._timers.at(at, self._give_up, live.ident)
         self.handle(
             RequestArrived(
@@ -469,7 +475,7 @@
         """Clients have left.  All are noted before any is told of: giving one up can end others' attempts."""
         lives = [live for call in calls if (live := self._by_call.pop(call, None)) and not live.answered]
         for live in lives:
-            live.answered = True
+            live.answered = live.call.over = True
         for live in lives:
             self._mark_answered(live)
             self.handle(RequestGone(live.ident))
@@ -480,10 +486,11 @@
         if self._observer is not None:
             self._observer.answered(live.call.kind.name, answer.verdict is Verdict.SERVED)
         self._mark_answered(live)
+        self._request_rules.answered(live.call, asyncio.get_running_loop().time())
         live.call.answer(answer)
 
     def _mark_answered(self, live: Live) -> None:
-        live.answered = True
+        live.answered = live.call.over = True
         self._by_call.pop(live.call, None)
         if live.backstop is not None:
             live.backstop.cancel()
@@ -512,10 +519,13 @@
 
     def _send(self, action: Send) -> None:
         live = self._live.get(action.request)
-        if live is not None and not live.answered and live.call.has_left():
-            self._gone([live.call])
+        denied: Denied | None = Denied.OVER
+        if live is not None:
+            denied = self._request_rules.denied(live.call, asyncio.get_running_loop().time())
+            if denied is Denied.CLIENT_LEFT:
+                self._gone([live.call])
         index = live.sent if live is not None else 0
-        if live is None or live.answered:
+        if live is None or denied is not None:
             if live is not None:
                 live.sent += 1
             self.handle(AttemptEnded(action.request, index, action.server, Outcome.UNSENT, 0, True))
@@ -528,7 +538,7 @@
         until = self._clock.on_loop(live.answer_by if last else action.until)
         ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
         try:
-            terms = Terms(until, last, self._clock.on_loop(action.write_by))
+            terms = Terms(until, last, self._clock.on_loop(action.write_by), self._request_rules)
             attempt = self._nodes.send(action.server, live.call, terms, ended)
         except Exception:
             ended(Outcome.DROPPED, None)  # a defect; nobody knows how far it went
@@ -654,6 +664,7 @@
             for each in self._discovery.standing()
         ]
         told: dict[str, Any] = {
+            "counters": self.counters.show(),
             "sources": sources,
             "nodes": sorted(nodes, key=lambda each: str(each["name"])),
         }
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -112,7 +112,7 @@
             return True
         if not has_ended(self._sock):
             return False
-        self.abort()
+        self.abort(client_gone=True)
         return True
 
     def describe(self) -> str:
@@ -123,14 +123,27 @@
             silent = f", silent for {now - self.partial.silent_since:.2f} s"
         return f"connection {self.number} ({self.state.name.lower()}{silent})"
 
+    def holds(self) -> bool:
+        """Whether a request of it was read and has no answer yet."""
+        return False
+
     def close(self) -> None:
+        self._check_answered()
         if self._transport is not None:
             self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, client_gone: bool = False) -> None:
+        """End it at once; `client_gone`: its client has left, or takes nothing of what it is told."""
+        if not client_gone:
+            self._check_answered()
         if self._transport is not None:
             self._transport.abort()
 
+    def _check_answered(self) -> None:
+        """What was read is answered before its connection ends: an end without is a broken promise, and is counted."""
+        if self.holds():
+            self._frontend.counters.violated(Violation.CLOSED_UNANSWERED, self.describe())
+
     def time_up(self) -> None:
         """Its state has lasted for as long as it may, or its partial request has taken that long."""
         raise NotImplementedError
--- a/topazbank/core/nodes.py
+++ b/topazbank/core/nodes.py
@@ -5,12 +5,14 @@
 import asyncio
 import logging
 import math
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 from topazbank.core.call import Call, Ended, Response
 from topazbank.core.net import Address
+from topazbank.core.request_rules import RequestRules
 from topazbank.core.timers import Timer, Timers
 from topazbank.interface import Outcome, ServerState
 
@@ -34,6 +36,7 @@
     protocol: str
     pool: Any = None  # its carrier's own
     generation: int = 0  # of its process: older connections are not used again
+    left_at: float | None = None  # since when it takes nothing new, on the event loop's clock; None: it does
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +46,7 @@
     until: float  # when it is given up
     last: bool = True  # whether its request is over then, so that no other attempt follows
     write_by: float = math.inf  # it ends unsent where its last byte has not gone to the kernel by then
+    rules: RequestRules | None = None  # what its writing is held to; a probe has none
 
 
 class Attempt:
@@ -53,6 +57,8 @@
         self.endpoint = endpoint
         self.until = terms.until
         self._write_by = terms.write_by
+        self._rules = terms.rules
+        self._let_go = False  # whether its first byte was let go to the server
         self.call = call
         self.ended: Ended | None = ended
         self.began: Callable[[Response], None] | None = (
@@ -60,10 +66,23 @@
         )
         self.timers: list[Timer] = []
 
-    def is_void(self) -> bool:
-        """Whether it is not to be written any more: its time for that is past, or its client has left meanwhile."""
-        late = asyncio.get_running_loop().time() >= self._write_by
-        return late or (self.call is not None and self.call.has_left())
+    def may_write(self) -> bool:
+        """Whether its first byte may go to the server now; asked once, just before that."""
+        if self.call is None or self._rules is None:
+            return True
+        now = asyncio.get_running_loop().time()
+        denied = self._rules.denied_write(self.call, self.endpoint, now, self._write_by)
+        if denied is not None:
+            log.info("request %s is not sent to %s: %s", self.call.ident, self.endpoint.name, denied.value)
+        self._let_go = denied is None
+        return self._let_go
+
+    def time_to_tell(self) -> float:
+        """How long its server is told that it waits, seconds."""
+        now = asyncio.get_running_loop().time()
+        if self.call is None or self._rules is None:
+            return max(self.until - now, 0.0)
+        return self._rules.time_to_tell(self.call, self.until, now)
 
     def bound_writing(self, timers: Timers) -> None:
         """See to it that it ends in time where its writing has a time of its own."""
@@ -85,6 +104,8 @@
         for timer in self.timers:
             timer.cancel()
         self.let_go(outcome)
+        if self.call is not None and self._rules is not None:
+            self._rules.ended(self.call, outcome, self._let_go)
         ended(outcome, response)
 
     def let_go(self, outcome: Outcome) -> None:
@@ -212,11 +233,15 @@
             known.generation += 1
             self._carriers[protocol].renew(known)
         known.state = state
-        if state is not ServerState.READY:
+        if state is ServerState.READY:
+            known.left_at = None
+        else:
+            known.left_at = known.left_at or time.monotonic()
             self._carriers[protocol].withdraw(known)
 
     def _remove(self, endpoint: Endpoint) -> None:
         endpoint.state = ServerState.GONE
+        endpoint.left_at = endpoint.left_at or time.monotonic()
         carrier = self._carriers[endpoint.protocol]
         carrier.withdraw(endpoint)
         carrier.forget(endpoint)
--- a/topazbank/http/front.py
+++ b/topazbank/http/front.py
@@ -53,6 +53,7 @@
 )
 _FRAMING = (b"content-length", b"transfer-encoding")
 _ABSOLUTE = re.compile(rb"https?://[^/?#]*", re.IGNORECASE)
+_IDENT = re.compile(rb"x-call-id:[ \t]*([!-~]{1,64})", re.IGNORECASE)
 _NUMBER = re.compile(r"[0-9]{1,10}(\.[0-9]{1,9})?", re.ASCII)
 
 
@@ -122,6 +123,12 @@
     return float(text)
 
 
+def _ident_in(data: bytes) -> str:
+    """The id of a request that is not read, for the log."""
+    found = _IDENT.search(data)
+    return found[1].decode("latin-1") if found is not None else "without id"
+
+
 def _is_whole(data: bytes) -> bool:
     """Whether a request has come whole; raise h11.RemoteProtocolError where it never will."""
     reading = h11.Connection(h11.SERVER)
@@ -161,9 +168,12 @@
         super().connection_lost(exc)
         if self._call is not None:
             self._frontend.counters.count(Event.CLIENT_LEFT)
-            log.debug("%s: its client left, request %s", self.describe(), self._call.ident)
+            log.info("%s: its client left, request %s", self.describe(), self._call.ident)
         self._client_gone()
 
+    def holds(self) -> bool:
+        return self._call is not None
+
     def eof_received(self) -> bool:
         return False  # a client that closes has gone away
 
@@ -174,7 +184,9 @@
         if self._call is None and self._stream is None and has_ended(self._sock):
             # Its client has left while the request waited here.  Guards a busy sidecar against work for those
             # that gave up: done for all, it would keep the next ones waiting until they give up too.
-            self.abort()
+            self._frontend.counters.count(Event.CLIENT_LEFT_UNREAD)
+            log.info("%s: its client left before request %s was read", self.describe(), _ident_in(data))
+            self.abort(client_gone=True)
             return
         if self._is_fresh():
             whole = read_request(data, BODY_MOST)
--- a/topazbank/http/upstream.py
+++ b/topazbank/http/upstream.py
@@ -240,9 +240,7 @@
             exchange.end(Outcome.DIAL_FAILED)
             return False
         connection.on_lost = self._slots.give
-        if exchange.ended is not None and exchange.is_void():
-            exchange.dial = None  # it is this task, which has done its work
-            exchange.end(Outcome.UNSENT)
+        exchange.dial = None  # it is this task, which has done its work
         if exchange.ended is None:
             connection.abort()
         else:
@@ -256,8 +254,10 @@
     def _write(self, exchange: Exchange, connection: Connection) -> None:
         exchange.connection = connection
         exchange.pool.dialling.discard(exchange)
-        left = exchange.until - asyncio.get_running_loop().time()
-        order = exchange.order(max(left, 0.0))
+        if not exchange.may_write():
+            exchange.end(Outcome.UNSENT)
+            return
+        order = exchange.order(exchange.time_to_tell())
         answered = partial(self._answered, exchange, connection)
         call = exchange.call
         if call is None:
--- a/topazbank/msgpackrpc/front.py
+++ b/topazbank/msgpackrpc/front.py
@@ -78,6 +78,9 @@
             self._frontend.counters.count(Event.CLIENT_LEFT)
             self._frontend.hooks.gone(calls)
 
+    def holds(self) -> bool:
+        return bool(self._calls)
+
     def eof_received(self) -> bool:
         return False  # a client that closes has gone away
 
@@ -125,7 +128,8 @@
                 self._pause_reading()
             return
         if not self._calls and has_ended(self._sock):
-            self.abort()  # its client has left while this waited here
+            self._frontend.counters.count(Event.CLIENT_LEFT_UNREAD)
+            self.abort(client_gone=True)  # while this waited here
             return
         self._coming = self._decoder.feed(data)
         self._go_on(len(data))
@@ -287,13 +291,17 @@
         RpcConnection._waiting_in_all += size - self._waiting
         self._waiting = size
         if size > WAITING_MOST or RpcConnection._waiting_in_all > WAITING_IN_ALL:
-            log.info("connection ended: its client takes no answers")
-            self.abort()
+            self._client_takes_nothing()
+
+    def _client_takes_nothing(self) -> None:
+        log.info("%s ended: its client takes no answers", self.describe())
+        self._frontend.counters.count(Event.CONNECTION_TIMED_OUT)
+        self.abort(client_gone=True)
 
     def pause_writing(self) -> None:
         """The client reads more slowly than it asks: its next calls wait in the kernel."""
         self._pause_reading()
-        self._stuck = asyncio.get_running_loop().call_later(_STUCK_S, self.abort)
+        self._stuck = asyncio.get_running_loop().call_later(_STUCK_S, self._client_takes_nothing)
         if self._transport is not None:
             self._count_waiting(self._transport.get_write_buffer_size())
 
--- a/topazbank/msgpackrpc/upstream.py
+++ b/topazbank/msgpackrpc/upstream.py
@@ -155,11 +155,11 @@
             transport is not None and self._writing is None and self._waiting and not transport.is_closing()
         ):
             attempt = self._waiting.popleft()
-            if attempt.is_void():
+            if not attempt.may_write():
                 attempt.connection = None
                 attempt.end(Outcome.UNSENT)
                 continue
-            left = max(attempt.until - asyncio.get_running_loop().time(), 0.0)
+            left = attempt.time_to_tell()
             self._writing = attempt
             attempt.msgid = self._new_msgid()
             transport.write(attempt.order(attempt.msgid, left))
