A soak test: dozens of real sidecars under random, overlapping faults

The scenes that there were play one fault each. Change: standins/soak draws kills, stops, ends, upgrades good and bad, hold-ups, cuts between sidecars, loss, servers that hang, die, fail, slow down, reset and drain, a registry out of reach, all overlapping, by a seed; beside honest clients of both protocols twelve a second stop, drip, send junk, leave or are slow. Judged by servers' and clients' notes (the four rules, a word within 3 s, nothing for who has left), the processes' own violation counters, tracebacks and unexpected ends. A short form is in the suite. A head that is ended in a drain says so in the log now.

--- /dev/null
+++ b/standins/soak/faults.py
@@ -0,0 +1,223 @@
+"""Draws the faults of one soak by a seed: which, when, to whom, for how long; they overlap.  No I/O.
+
+Half of the sidecars are victims: their processes are killed, stopped, ended and upgraded in ways that go wrong, and
+what clients of theirs lose meanwhile is not judged.  The others are upgraded in order and stand still for no
+longer than the platform assumes; every client of theirs is owed all.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from standins.tier.scenes import NODES, REGISTRY, Step
+
+HELD_UP_S = (
+    0.12  # a process may be held up for 0.15 s, by the platform's terms; the rest is for the signals' way
+)
+EACH_S = 0.9  # between two faults, in the mean
+NODES_OUT_MOST = 2  # servers that are out of order at a time: with none left there is nothing to judge
+# From a drain at a server until every sidecar counts as told of it.
+TOLD_S = 0.3
+TOLD_IN_UPGRADE_S = 3.0  # the list that is handed over may be of before, and counts as told 2 s after
+TOLD_AFTER_SILENCE_S = 6.5  # the registry could not be reached: counted from when it can be
+
+
+@dataclass(slots=True)
+class Soak:
+    """One soak's faults, in the order of time."""
+
+    seconds: float
+    victims: frozenset[int]
+    steps: list[Step] = field(default_factory=list)
+
+    def steady(self, sidecars: int) -> list[int]:
+        return [each for each in range(sidecars) if each not in self.victims]
+
+
+class _Busy:
+    """Whom a fault holds, until when."""
+
+    def __init__(self) -> None:
+        self._until: dict[int, float] = {}
+
+    def free(self, among: Iterable[int], at: float) -> list[int]:
+        return [each for each in among if self._until.get(each, -1.0) < at]
+
+    def take(self, who: int, until: float) -> None:
+        self._until[who] = until
+
+    def count(self, at: float) -> int:
+        return sum(until >= at for until in self._until.values())
+
+
+class _Drawing:
+    """The state of one drawing."""
+
+    def __init__(self, sidecars: int, seed: int, seconds: float) -> None:
+        self.chance = random.Random(seed)
+        self.seconds = seconds
+        order = list(range(sidecars))
+        self.chance.shuffle(order)
+        self.victims, self.steady = order[: sidecars // 2], order[sidecars // 2 :]
+        self.steps: list[Step] = []
+        self.processes, self.nodes = _Busy(), _Busy()
+        self.silent: list[tuple[float, float]] = []  # when the registry could not be reached
+        self.upgrades: list[float] = []
+        self.sidecars = sidecars
+
+    def span(self, at: float, least_s: float, most_s: float) -> float:
+        """A fault's length, so that it ends within the soak."""
+        return min(self.chance.uniform(least_s, most_s), max(self.seconds - at, 0.1))
+
+    def add(
+        self, at: float, do: str, who: int | None = None, to: int | None = None, value: float = 0.0
+    ) -> None:
+        self.steps.append(
+            Step(at, do, () if who is None else (who,), () if to is None else (to,), round(value, 3))
+        )
+
+    def a_victim(self, at: float, busy_s: float) -> int | None:
+        return self._one(self.processes, self.victims, at, busy_s)
+
+    def a_steady_one(self, at: float, busy_s: float) -> int | None:
+        return self._one(self.processes, self.steady, at, busy_s)
+
+    def a_node(self, at: float, busy_s: float) -> int | None:
+        if self.nodes.count(at) >= NODES_OUT_MOST:
+            return None
+        return self._one(self.nodes, range(NODES), at, busy_s)
+
+    def _one(self, busy: _Busy, among: Iterable[int], at: float, busy_s: float) -> int | None:
+        free = busy.free(among, at)
+        if not free:
+            return None
+        one = self.chance.choice(free)
+        busy.take(one, at + busy_s)
+        return one
+
+
+Fault = Callable[[_Drawing, float], None]
+
+
+def _killed(drawing: _Drawing, at: float) -> None:
+    down_s = drawing.chance.uniform(0.2, 3.0)
+    one = drawing.a_victim(at, down_s + 6.0)
+    if one is not None:
+        drawing.add(at, drawing.chance.choice(("kill", "leave")), one)
+        drawing.add(at + 4.0 + down_s, "start", one)
+
+
+def _stopped(drawing: _Drawing, at: float) -> None:
+    span = drawing.chance.uniform(0.3, 3.0)
+    one = drawing.a_victim(at, span + 1.0)
+    if one is not None:
+        drawing.add(at, "stop", one, value=span)
+
+
+def _upgrade_gone_wrong(drawing: _Drawing, at: float) -> None:
+    one = drawing.a_victim(at, 8.0)
+    if one is not None:
+        way = drawing.chance.choice(("old_dies", "new_dies", "new_hangs"))
+        drawing.add(at, way, one, value=drawing.chance.uniform(0.0, 0.8))
+        drawing.upgrades.append(at)
+
+
+def _upgraded(drawing: _Drawing, at: float) -> None:
+    one = drawing.a_steady_one(at, 8.0)
+    if one is not None:
+        drawing.add(at, "upgrade", one)
+        drawing.upgrades.append(at)
+
+
+def _held_up(drawing: _Drawing, at: float) -> None:
+    one = drawing.a_steady_one(at, 1.0)
+    if one is not None:
+        drawing.add(at, "stop", one, value=drawing.chance.uniform(0.02, HELD_UP_S))
+
+
+def _cut(drawing: _Drawing, at: float) -> None:
+    a, b = drawing.chance.sample(range(drawing.sidecars), 2)
+    drawing.add(at, "cut", a, b)
+    if drawing.chance.random() < 0.3:
+        drawing.add(at + drawing.span(at, 0.5, 4.0), "heal")
+
+
+def _lossy(drawing: _Drawing, at: float) -> None:
+    drawing.add(at, "loss", value=drawing.chance.uniform(0.1, 0.4))
+    drawing.add(at + drawing.span(at, 1.0, 4.0), "loss")
+
+
+def _node_out(drawing: _Drawing, at: float) -> None:
+    span = drawing.span(at, 0.3, 5.0)
+    one = drawing.a_node(at, span + 0.5)
+    if one is None:
+        return
+    way = drawing.chance.choice(("hang", "die", "fail", "slow", "tcp_cut", "tcp_hold"))
+    if way.startswith("tcp_"):
+        drawing.add(at, way, to=one)
+        drawing.add(at + span, "tcp_heal", to=one)
+    else:
+        drawing.add(at, f"node_{way}", to=one, value=drawing.chance.uniform(0.1, 0.9))
+        drawing.add(at + span, "node_well", to=one)
+
+
+def _node_reset(drawing: _Drawing, at: float) -> None:
+    drawing.add(at, "node_reset", to=drawing.chance.randrange(NODES))
+
+
+def _node_drains(drawing: _Drawing, at: float) -> None:
+    span = drawing.span(at, 1.0, 6.0)
+    one = drawing.a_node(at, span + 0.5)
+    if one is not None:
+        drawing.add(at, "drain", to=one)
+        drawing.add(at + span, "undrain", to=one)
+
+
+def _registry_out(drawing: _Drawing, at: float) -> None:
+    if drawing.silent and drawing.silent[-1][1] >= at:
+        return
+    span = drawing.span(at, 0.5, 6.0)
+    drawing.silent.append((at, at + span))
+    drawing.add(at, drawing.chance.choice(("tcp_hold", "tcp_cut")), to=REGISTRY)
+    drawing.add(at + span, "tcp_heal", to=REGISTRY)
+
+
+FAULTS: tuple[Fault, ...] = (
+    _killed, _stopped, _upgrade_gone_wrong, _upgraded, _held_up, _held_up, _cut, _lossy, _node_out, _node_out,
+    _node_reset, _node_drains, _registry_out,
+)  # fmt: skip
+
+
+def draw(sidecars: int, seed: int, seconds: float) -> Soak:
+    """The faults of one soak; all that lasts ends with it."""
+    drawing = _Drawing(sidecars, seed, seconds)
+    at = 1.0
+    while at < seconds:
+        drawing.chance.choice(FAULTS)(drawing, at)
+        at += drawing.chance.expovariate(1.0 / EACH_S)
+    drawing.add(seconds, "heal")
+    drawing.add(seconds, "loss")
+    steps = [
+        _told_in_time(each, drawing) if each.do == "drain" else each
+        for each in sorted(drawing.steps, key=lambda each: each.at)
+    ]
+    return Soak(seconds, frozenset(drawing.victims), steps)
+
+
+def _told_in_time(drain: Step, drawing: _Drawing) -> Step:
+    """The same drain, with the time until all count as told of it as its value."""
+    told = drain.at + TOLD_S
+    if any(
+        began - TOLD_S <= drain.at + 2.0 and began + TOLD_IN_UPGRADE_S >= drain.at
+        for began in drawing.upgrades
+    ):
+        told = max(told, drain.at + TOLD_IN_UPGRADE_S)
+    for began, ended in drawing.silent:
+        if began - TOLD_S <= told and drain.at <= ended + TOLD_AFTER_SILENCE_S:
+            told = max(told, ended + TOLD_AFTER_SILENCE_S)
+    for step in drawing.steps:
+        if step.do == "stop" and drain.at - step.value <= step.at <= told:
+            told += step.value + 0.2
+    return Step(drain.at, drain.do, drain.who, drain.to, round(told - drain.at, 3))
--- a/standins/tier/rig.py
+++ b/standins/tier/rig.py
@@ -88,6 +88,8 @@
 class Rig:
     """The processes, what surrounds them, and what was done and seen."""
 
+    node_class: type[Noting] = Noting
+
     def __init__(
         self,
         members: int,
@@ -141,7 +143,7 @@
         memories = [Memory(), Memory()]
         for number in range(NODES):
             pod = number % 2
-            lodge = Noting(
+            lodge = self.node_class(
                 f"n-{number}", self.log, now, 1.0, work=lambda a: WORK_S[a.kind], memory=memories[pod]
             )
             lodge.note = lambda node, ident: self._reached.append(Reached(now(), node, ident))
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,66 @@
+"""The soak in its short form, and what its judge has to see."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from standins.fleet.judge import Reached
+from standins.lodge import Run
+from standins.soak.__main__ import play
+from standins.soak.faults import FAULTS, draw
+from standins.soak.rig import ran_twice, sent_for_nobody
+from standins.soak.unruly import GONE_S, SLACK_S, Left, Unruly
+from standins.tier.scenes import PAUSE_BORNE_S
+
+
+def test_a_few_processes_keep_the_rules_under_faults_that_overlap() -> None:
+    judged = asyncio.run(play(sidecars=6, seed=2, seconds=10.0, rate=40.0))
+    assert not judged.broken, judged.broken[:5]
+    assert judged.verdicts.calls > 200 and judged.unruly.total() > 50
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_seed_draws_the_same_faults_and_spares_the_steady_half(seed: int) -> None:
+    soak = draw(24, seed, 30.0)
+    assert soak.steps == draw(24, seed, 30.0).steps
+    assert len(soak.steady(24)) == 12 and len(soak.steps) > 10
+    for step in soak.steps:
+        if step.do in ("kill", "leave", "start", "old_dies", "new_dies", "new_hangs"):
+            assert set(step.who) <= soak.victims
+        elif step.do == "stop" and not set(step.who) <= soak.victims:
+            assert step.value < 0.15 < PAUSE_BORNE_S
+        elif step.do == "drain":
+            assert step.value >= 0.3
+
+
+def test_every_fault_is_drawn_by_some_seed() -> None:
+    drawn = {step.do for seed in range(40) for step in draw(24, seed, 30.0).steps}
+    wanted = {
+        "kill",
+        "leave",
+        "start",
+        "stop",
+        "old_dies",
+        "new_dies",
+        "new_hangs",
+        "upgrade",
+        "cut",
+        "heal",
+        "loss",
+    }
+    wanted |= {"tcp_hold", "tcp_cut", "tcp_heal", "drain", "undrain", "node_hang", "node_die", "node_fail"}
+    assert drawn == wanted | {"node_slow", "node_well", "node_reset"} and len(FAULTS) == 13
+
+
+def test_the_judge_sees_what_is_sent_for_who_has_left_and_what_ran_twice() -> None:
+    unruly = Unruly(1)
+    unruly.left.append(Left("u-1", 10.0))
+    unruly.kinds.update({"u-1": "lodge", "u-2": "check"})
+    borne = 10.0 + GONE_S + SLACK_S
+    assert not sent_for_nobody(unruly, [Reached(borne, "n-0", "u-1"), Reached(99.0, "n-0", "u-2")])
+    assert len(sent_for_nobody(unruly, [Reached(borne + 0.01, "n-0", "u-1")])) == 1
+    twice = [Run("n-0", each, kind, None, 1.0) for each, kind in (("u-1", "lodge"), ("u-2", "check"))] * 2
+    assert ran_twice(unruly, [], twice) == ["ran twice: u-1"]
+    assert len(ran_twice(unruly, [Reached(1.0, "n-0", "u-2")] * 4, [])) == 1
--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -414,6 +414,9 @@
                 if used and state not in _AT_REST:
                     continue
                 stuck = state is ConnectionState.READING_HEAD and since < halted and connection.is_quiet()
+                if stuck:
+                    self.counters.count(Event.REQUEST_TIMED_OUT)
+                    log.info("%s: ended in a drain, before its request was here", connection.describe())
                 if stuck or connection.is_idle():
                     connection.close()
 
