Both protocols' sides are named server and client, and a request's reading has a module

Need: names of the field in place of "front" and "upstream", and one job a file: the HTTP front held the parsing of a request beside its connection. Change: http/front.py and msgpackrpc/front.py are server.py, the two upstream.py are client.py, as the architecture has them; http/request_reading.py makes a call of a request, without I/O. Behaviour does not change.

--- a/tests/msgpackrpc/simulated.py
+++ b/tests/msgpackrpc/simulated.py
@@ -22,10 +22,10 @@
 from topazbank.core.members import Dialects, Listed, Standing, Told
 from topazbank.core.net import Address
 from topazbank.core.nodes import MSGPACK_RPC, Carrier, Slots
-from topazbank.http.front import HttpConnection
+from topazbank.http.server import HttpConnection
 from topazbank.interface import Cancel, ListedServer, Outcome, ServerState, Settings
-from topazbank.msgpackrpc.front import RpcConnection
-from topazbank.msgpackrpc.upstream import RpcCarrier, RpcNodeConnection, Sharing
+from topazbank.msgpackrpc.client import RpcCarrier, RpcNodeConnection, Sharing
+from topazbank.msgpackrpc.server import RpcConnection
 
 ATTEMPTS_MOST = 3
 BUDGET_S = 1.5
--- a/tests/msgpackrpc/test_front.py
+++ b/tests/msgpackrpc/test_front.py
@@ -25,8 +25,8 @@
 )
 
 from standins.wire import MSGPACK_RPC, pack
-from topazbank.msgpackrpc import front
-from topazbank.msgpackrpc.front import CALLS_MOST, RpcConnection
+from topazbank.msgpackrpc import server
+from topazbank.msgpackrpc.server import CALLS_MOST, RpcConnection
 
 pytestmark = pytest.mark.usefixtures("rpc_client")
 
@@ -278,7 +278,7 @@
 def test_a_client_that_reads_nothing_is_bounded_ended_and_holds_up_nobody(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(front, "WAITING_MOST", 512 * 1024)
+    monkeypatch.setattr(server, "WAITING_MOST", 512 * 1024)
 
     async def scene() -> None:
         async with world(lambda *_: answer(200, bytes(60_000)), sockets=1024) as w:
--- a/tests/msgpackrpc/test_mapping.py
+++ b/tests/msgpackrpc/test_mapping.py
@@ -11,7 +11,7 @@
 
 from standins.wire import read_rpc
 from topazbank.core.call import Answer, BadCall, Call, Rulebook, Verdict
-from topazbank.http.upstream import write_request
+from topazbank.http.client import write_request
 from topazbank.interface import Outcome
 from topazbank.msgpackrpc.codec import Decoder, Reply, Request, encode_request
 from topazbank.msgpackrpc.mapping import read_call, read_reply, write_answer, write_call
--- a/tests/msgpackrpc/test_properties.py
+++ b/tests/msgpackrpc/test_properties.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 from simulated import Played, PlayedLoop
 
-from topazbank.msgpackrpc.upstream import Sharing
+from topazbank.msgpackrpc.client import Sharing
 
 EXAMPLES = os.environ.get("TOPAZBANK_EXAMPLES")
 PROFILE = how(
@@ -125,7 +125,7 @@
 
 def test_the_judges_see_a_rule_that_is_broken() -> None:
     # Guards the test above: a carrier that does not close what it gives up must be caught.
-    from topazbank.msgpackrpc.upstream import RpcNodeConnection
+    from topazbank.msgpackrpc.client import RpcNodeConnection
 
     script: list[Step] = [("call", 0, "look", 1), ("wait", 0.002)] * 6  # so that some share a connection
     real = RpcNodeConnection.give_up
--- a/tests/msgpackrpc/test_upstream.py
+++ b/tests/msgpackrpc/test_upstream.py
@@ -32,8 +32,8 @@
 from topazbank.core.nodes import MSGPACK_RPC as RPC
 from topazbank.core.nodes import Nodes, Slots, Terms
 from topazbank.interface import Outcome, ServerState
+from topazbank.msgpackrpc.client import RpcAttempt, RpcCarrier, RpcNodeConnection, Sharing
 from topazbank.msgpackrpc.mapping import write_call
-from topazbank.msgpackrpc.upstream import RpcAttempt, RpcCarrier, RpcNodeConnection, Sharing
 
 RULES = Rulebook(settings(classes=CLASSES))
 idents = itertools.count()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -30,10 +30,10 @@
 from topazbank.core.net import Address
 from topazbank.core.nodes import HTTP, MSGPACK_RPC, Nodes, Slots, Terms
 from topazbank.core.reports import parse_report
+from topazbank.http.client import HttpCarrier, judge, write_request
 from topazbank.http.connection import HttpResponse, connect
-from topazbank.http.upstream import HttpCarrier, judge, write_request
 from topazbank.interface import Action, AttemptEnded, Event, Outcome, ServerState
-from topazbank.msgpackrpc.upstream import RpcCarrier
+from topazbank.msgpackrpc.client import RpcCarrier
 
 
 def served(*_: object) -> bytes:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -30,7 +30,7 @@
 from topazbank.core.body import LARGE_MOST
 from topazbank.core.call import Answer, Hooks, Rulebook, Verdict
 from topazbank.core.listener import ClientConnection, Frontend
-from topazbank.http.front import HttpConnection
+from topazbank.http.server import HttpConnection
 from topazbank.interface import Action, Event, Refuse, RequestArrived
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -12,7 +12,7 @@
 from standins.wire import HTTP, reset
 from topazbank.core.call import BODY_MOST
 from topazbank.interface import ServerState
-from topazbank.msgpackrpc import front as rpc_front
+from topazbank.msgpackrpc import server as rpc_server
 
 Leave = Callable[[Client], None]
 AFTER_S = 0.4  # what arrives so long after the client left was sent for nobody
@@ -60,7 +60,7 @@
     leave: Leave, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Its connection is read no further, so its end is not seen; then the node turns the attempt away.
-    monkeypatch.setattr(rpc_front, "CALLS_MOST", 1)
+    monkeypatch.setattr(rpc_server, "CALLS_MOST", 1)
 
     async def scene() -> None:
         async with world(silent, silent) as w:
@@ -81,7 +81,7 @@
 def test_a_request_behind_another_is_not_sent_for_a_client_that_left(
     unseen: bool, leave: Leave, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(rpc_front, "CALLS_MOST", 1)
+    monkeypatch.setattr(rpc_server, "CALLS_MOST", 1)
 
     async def scene() -> None:
         async with world(silent) as w:
--- a/topazbank/http/front.py
+++ b/topazbank/http/server.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import logging
-import re
 import socket
 import struct
 from collections.abc import Callable
@@ -21,17 +20,15 @@
     BadCall,
     Call,
     Headers,
-    Rulebook,
     Verdict,
-    target_key,
 )
 from topazbank.core.connection_states import ConnectionState, PartialRequest
 from topazbank.core.counters import Event
 from topazbank.core.listener import ClientConnection, Frontend
 from topazbank.core.net import has_ended
-from topazbank.http.connection import ABOUT_BODY, data_of, end_to_end, message
+from topazbank.http.connection import data_of, message
+from topazbank.http.request_reading import ident_in, is_whole, own_form, parse_call
 from topazbank.http.whole import RequestHead, read_request
-from topazbank.interface import Repeat
 
 log = logging.getLogger(__name__)
 
@@ -40,105 +37,7 @@
 # Bytes read and dropped of what comes after a rejection, so that its answer arrives.
 _DROPPED_MOST = 128 * BODY_MOST
 _REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed"}
-_SINGLE = frozenset(  # headers that mean one thing: given twice, they may mean another to a server
-    (
-        b"x-call-id",
-        b"x-call-class",
-        b"x-caller",
-        b"x-budget",
-        b"x-again",
-        b"x-call-cost",
-        b"idempotency-key",
-    )
-)
 _FRAMING = (b"content-length", b"transfer-encoding")
-_ABSOLUTE = re.compile(rb"https?://[^/?#]*", re.IGNORECASE)
-_IDENT = re.compile(rb"x-call-id:[ \t]*([!-~]{1,64})", re.IGNORECASE)
-_NUMBER = re.compile(r"[0-9]{1,10}(\.[0-9]{1,9})?", re.ASCII)
-
-
-def parse_call(
-    head: h11.Request | RequestHead, body: bytes | Large, rules: Rulebook, answer: Callable[[Answer], None]
-) -> Call:
-    """Read a request of a client; raise BadCall where it makes no sense or breaks the settings."""
-    given: dict[bytes, str] = {}
-    headers = list(head.headers)  # h11 makes each pair anew whenever they are gone through
-    target = own_form(head.target)
-    for name, value in headers:
-        if name in _SINGLE and name in given:
-            raise BadCall(400, f"{name.decode()} stands twice")
-        given[name] = value.decode("latin-1").strip()
-    for name in (b"x-call-id", b"x-call-class", b"x-budget"):
-        if not given.get(name):
-            raise BadCall(400, f"{name.decode()} is missing")
-    budget = _number(given[b"x-budget"], "x-budget")
-    cost = given.get(b"x-call-cost")
-    kind = rules.kind(given[b"x-call-class"])
-    if head.method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
-        raise BadCall(405, "not the method of the class")
-    caller = given.get(b"x-caller") or None
-    if b"host" not in given:
-        headers.append((b"host", b"sidecar"))  # HTTP/1.0 allows none, HTTP/1.1 needs one
-    call = Call(
-        ident=given[b"x-call-id"],
-        kind=kind,
-        target=target,
-        body=body if isinstance(body, bytes) else b"",
-        tenant=rules.tenant(caller),
-        key=target_key(target),
-        budget_us=int(budget * 1e6),
-        cost_us=int(_number(cost, "x-call-cost")) if cost else None,
-        again=given.get(b"x-again") == "1",
-        idempotency_key=given.get(b"idempotency-key") or None,
-        answer=answer,
-        caller=caller,
-        about=[each for each in headers if each[0] in ABOUT_BODY],
-        headers=end_to_end(
-            headers, b"content-length", b"x-budget", b"expect", *_named_by_connection(headers)
-        ),
-        large=None if isinstance(body, bytes) else body,
-        streams=True,
-    )
-    rules.check(call)
-    return call
-
-
-def own_form(target: bytes) -> bytes:
-    """Path and query of a request's target, which may name the whole address (RFC 9112, 3.2.2)."""
-    whole = _ABSOLUTE.match(target)
-    return target if whole is None else target[whole.end() :] or b"/"
-
-
-def _named_by_connection(headers: Headers) -> list[bytes]:
-    """Headers that a client says belong to its connection alone; never those that a call is made of."""
-    named = [
-        each.strip() for name, value in headers if name == b"connection" for each in value.lower().split(b",")
-    ]
-    return [each for each in named if each not in _SINGLE and each != b"host"]
-
-
-def _number(text: str, name: str) -> float:
-    if not _NUMBER.fullmatch(text):
-        raise BadCall(400, f"{name}: a number is needed")
-    return float(text)
-
-
-def _ident_in(data: bytes) -> str:
-    """The id of a request that is not read, for the log."""
-    found = _IDENT.search(data)
-    return found[1].decode("latin-1") if found is not None else "without id"
-
-
-def _is_whole(data: bytes) -> bool:
-    """Whether a request has come whole; raise h11.RemoteProtocolError where it never will."""
-    reading = h11.Connection(h11.SERVER)
-    reading.receive_data(data)
-    while True:
-        event = reading.next_event()
-        if event is h11.NEED_DATA:
-            return False
-        if not isinstance(event, h11.Request | h11.Data):
-            return True  # its end, or that of the connection
 
 
 class HttpConnection(ClientConnection):
@@ -185,7 +84,7 @@
             # Its client has left while the request waited here.  Guards a busy sidecar against work for those
             # that gave up: done for all, it would keep the next ones waiting until they give up too.
             self._frontend.counters.count(Event.CLIENT_LEFT_UNREAD)
-            log.info("%s: its client left before request %s was read", self.describe(), _ident_in(data))
+            log.info("%s: its client left before request %s was read", self.describe(), ident_in(data))
             self.abort(client_gone=True)
             return
         if self._is_fresh():
@@ -268,7 +167,7 @@
         if self.partial is None:
             self.partial = PartialRequest(now)
         try:
-            here = _is_whole(behind)
+            here = is_whole(behind)
         except h11.RemoteProtocolError as bad:
             self._unreadable = str(bad)
             self._pause_reading()  # the held request is answered, and the connection ends with that
--- a/topazbank/wiring.py
+++ b/topazbank/wiring.py
@@ -13,8 +13,8 @@
 from topazbank.core.net import Address
 from topazbank.core.nodes import HTTP, MSGPACK_RPC, Carrier, Slots
 from topazbank.core.trace import Trace
-from topazbank.http.front import HttpConnection
-from topazbank.http.upstream import HttpCarrier
+from topazbank.http.client import HttpCarrier
+from topazbank.http.server import HttpConnection
 from topazbank.interface import Settings
 from topazbank.membership.both import Several
 from topazbank.membership.registry import Discovery
@@ -27,19 +27,19 @@
     rpc = operator.msgpack_rpc
     binary: Speaks | None = None
     if rpc.clients:
-        from topazbank.msgpackrpc.front import RpcConnection
+        from topazbank.msgpackrpc.server import RpcConnection
 
         binary = RpcConnection
 
     if rpc.nodes:
-        import topazbank.msgpackrpc.upstream  # noqa: F401  # now, so that a library that lacks ends the start
+        import topazbank.msgpackrpc.client  # noqa: F401  # now, so that a library that lacks ends the start
 
     def carriers(settings: Settings, slots: Slots) -> Mapping[str, Carrier]:
         limits, columns = settings.limits, settings.report_columns
         dial_s, idle_s = limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6
         made: dict[str, Carrier] = {HTTP: HttpCarrier(dial_s, idle_s, slots, columns)}
         if rpc.nodes:
-            from topazbank.msgpackrpc.upstream import RpcCarrier, Sharing
+            from topazbank.msgpackrpc.client import RpcCarrier, Sharing
 
             sharing = Sharing(rpc.lodges_per_connection, rpc.others_per_connection, rpc.connections_per_node)
             made[MSGPACK_RPC] = RpcCarrier(dial_s, idle_s, slots, columns, sharing)
