Failing on the compiled copy: a connection goes on after a refusal at once

Cause: the compiler takes self._call for what was assigned to it above, though the request was answered in between; the comparison then raises, the answered request is taken for a defect, and its connection is aborted behind the answer. The incident's tests run on the copy as well from now on: the process that they start is of the copy where the tests are.

--- a/tests/incidents/test_stopped_clients.py
+++ b/tests/incidents/test_stopped_clients.py
@@ -165,7 +165,9 @@
     play(scene())
 
 
-@pytest.mark.parametrize("half", [b"GET /half", b"\x00\x01 junk\r\n\r\n"], ids=["half a request", "junk"])
+@pytest.mark.parametrize(
+    "half", [b"GET /half", POST[:-5], b"\x00\x01 junk\r\n\r\n"], ids=["half a head", "half a body", "junk"]
+)
 @pytest.mark.parametrize("served", [True, False])
 def test_a_request_before_what_never_becomes_one_still_gets_its_answer(
     half: bytes, served: bool, tmp_path: Path
@@ -191,6 +193,48 @@
     play(scene())
 
 
+def test_a_request_whose_body_is_too_long_to_wait_here_is_read_once_its_turn_comes(tmp_path: Path) -> None:
+    # Sent ahead whole: that it is not read further is this process's choice, and no fault of its client's.
+    async def scene() -> None:
+        server = FakeServer("s-0", _answers)
+        async with program(tmp_path, server) as (_, listen):
+            one = await client(listen)
+            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
+            while not server.requests:
+                await asyncio.sleep(0.01)
+            one.send(request("pay", body=bytes(1_000_000), X_Call_Id="large", budget="30.0"))
+            await asyncio.sleep(STOPPED_S)
+            server.answer_held(answer(200, b"served"))
+            assert await _statuses(one, 2) == [200, 200]
+            one.close()
+
+    play(scene())
+
+
+def test_a_large_answer_that_has_begun_is_given_whole_whatever_is_half_here_behind_its_request(
+    tmp_path: Path,
+) -> None:
+    async def scene() -> None:
+        server = FakeServer("s-0", _answers)
+        async with program(tmp_path, server) as (_, listen):
+            one = await client(listen)
+            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
+            while not server.requests:
+                await asyncio.sleep(0.01)
+            one.send(POST[:30])
+            pieces = [b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", *([bytes(20_000)] * 5)]
+            for piece in pieces:
+                server.writers[-1].write(piece)
+                await asyncio.sleep(STOPPED_S / 4)
+            status, _, body = await read_answer(one.reader)
+            assert (status, len(body)) == (200, 100_000)
+            async with asyncio.timeout(STOPPED_S):
+                await one.reader.read()  # and the half behind it has its error
+            one.close()
+
+    play(scene())
+
+
 async def _stops_before_its_id(one: Client, server: FakeServer) -> None:
     """Nothing tells which call the half would become, so that no error can name it: the end is its word."""
     one.writer.write(_MESSAGE[:1])
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -139,6 +139,21 @@
     play(scene())
 
 
+@pytest.mark.usefixtures("each_client")
+def test_a_connection_goes_on_after_a_refusal_at_once(caplog: pytest.LogCaptureFixture) -> None:
+    # Guards against taking what is answered by the time it has been taken for a defect, which ended its connection.
+    async def scene() -> None:
+        async with world() as w:
+            one = await client(w.sidecar.frontend.address)
+            for number in range(3):
+                one.send(request(X_Call_Id=f"refused-{number}"))
+                assert (await one.answer())[0] == 503
+            one.close()
+
+    play(scene())
+    assert "could not be handled" not in caplog.text
+
+
 @pytest.mark.usefixtures("each_pair")
 @pytest.mark.interpreted
 def test_a_refusal_says_when_to_come_back() -> None:
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -62,6 +62,9 @@
     environ = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
     return await asyncio.create_subprocess_exec(
         sys.executable,
+        *(
+            ["-P"] if sys.flags.safe_path else []
+        ),  # the copy that these tests run on, and not what lies beside them
         "-m",
         "topazbank",
         "--operator",
