What was answered as it was taken is no defect; the soak has moments without servers

The look behind a request is a function of its own now, in which the compiler takes nothing for known. The soak missed it, as nothing in it was refused at once: a moment in which all servers are dead is one of its faults now.

--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -163,6 +163,17 @@
         drawing.add(at + span, "node_well", to=one)
 
 
+def _all_nodes_out(drawing: _Drawing, at: float) -> None:
+    """For a moment nobody is left to send to: requests are refused as they come."""
+    span = drawing.span(at, 0.3, 1.2)
+    if drawing.nodes.count(at):
+        return
+    for number in range(NODES):
+        drawing.nodes.take(number, at + span + 1.5)
+        drawing.add(at, "node_die", to=number)
+        drawing.add(at + span, "node_well", to=number)
+
+
 def _node_reset(drawing: _Drawing, at: float) -> None:
     drawing.add(at, "node_reset", to=drawing.chance.randrange(NODES))
 
@@ -186,7 +197,7 @@
 
 FAULTS: tuple[Fault, ...] = (
     _killed, _stopped, _upgrade_gone_wrong, _upgraded, _held_up, _held_up, _cut, _lossy, _node_out, _node_out,
-    _node_reset, _node_drains, _registry_out,
+    _all_nodes_out, _node_reset, _node_drains, _registry_out,
 )  # fmt: skip
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -51,7 +51,7 @@
         "loss",
     }
     wanted |= {"tcp_hold", "tcp_cut", "tcp_heal", "drain", "undrain", "node_hang", "node_die", "node_fail"}
-    assert drawn == wanted | {"node_slow", "node_well", "node_reset"} and len(FAULTS) == 13
+    assert drawn == wanted | {"node_slow", "node_well", "node_reset"} and len(FAULTS) == 14
 
 
 def test_the_judge_sees_what_is_sent_for_who_has_left_and_what_ran_twice() -> None:
--- a/topazbank/http/server.py
+++ b/topazbank/http/server.py
@@ -160,6 +160,14 @@
         self._client_gone()
         self._answer(500, [], b"", ends=True)
 
+    def _see_behind(self) -> None:
+        """A request was taken, and answered already or not: see what came with it.
+
+        Apart from what took it: there the compiler holds the request for unanswered, whatever was done with it.
+        """
+        if self._call is not None and self._h11.trailing_data[0]:
+            self._look_ahead()
+
     def _look_ahead(self, count: int = 0) -> None:
         """See what waits behind the request that is held; `count` bytes of it came now."""
         behind = self._h11.trailing_data[0].lstrip(b"\r\n")
@@ -291,8 +299,7 @@
             self._call = call
             self._frontend.move(self, ConnectionState.HOLDING)
             self._frontend.hooks.taken(call)
-            if self._call is call and self._h11.trailing_data[0]:
-                self._look_ahead()
+            self._see_behind()
 
     def _reject(self, bad: BadCall) -> None:
         """Turn the request away and end the connection: nothing more is expected of this client."""
