--- a/tests/incidents/test_stopped_clients.py
+++ b/tests/incidents/test_stopped_clients.py
@@ -193,6 +193,25 @@
     play(scene())
 
 
+def test_junk_behind_more_than_waits_here_is_told_off_in_time(tmp_path: Path) -> None:
+    # So much is not read further; but what is junk by then stays junk.
+    async def scene() -> None:
+        server = FakeServer("s-0", _answers)
+        async with program(tmp_path, server) as (_, listen):
+            one = await client(listen)
+            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
+            while not server.requests:
+                await asyncio.sleep(0.01)
+            one.writer.write(CHUNKED + b"f800\r\n" + bytes(0xF800) + b"\r\n")
+            await asyncio.sleep(0.2)
+            one.writer.write(b"zz\r\n" + b"x" * 10_000)
+            async with asyncio.timeout(STOPPED_S):
+                assert (await read_answer(one.reader))[0] == 500
+            one.close()
+
+    play(scene())
+
+
 def test_a_request_whose_body_is_too_long_to_wait_here_is_read_once_its_turn_comes(tmp_path: Path) -> None:
     # Sent ahead whole: that it is not read further is this process's choice, and no fault of its client's.
     async def scene() -> None:
