--- a/topazbank/http/server.py
+++ b/topazbank/http/server.py
@@ -184,7 +184,7 @@
             self.partial.progressed(now, count)
         if here or not behind:
             self.partial = None
-        elif len(behind) > BODY_MOST:
+        elif len(behind) > BODY_MOST and self._unreadable is None:
             self.partial.pause(now)  # it sends ahead; what is held is bounded
         if len(behind) > BODY_MOST:
             self._pause_reading()
