--- a/tests/incidents/test_stopped_clients.py
+++ b/tests/incidents/test_stopped_clients.py
@@ -111,6 +111,15 @@
     return stop()
 
 
+async def _holding(listen: Address, server: FakeServer) -> Client:
+    """A client whose request is at a server that does not answer it yet."""
+    one = await client(listen)
+    one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
+    while not server.requests:
+        await asyncio.sleep(0.01)
+    return one
+
+
 HTTP_STOPS: Mapping[str, Stopped] = {
     **{f"after {count} bytes": _after(POST[:count]) for count in range(1, len(POST), 11)},
     "after its empty lines": _after(b"\r\n"),
@@ -176,10 +185,7 @@
     async def scene() -> None:
         server = FakeServer("s-0", _answers)
         async with program(tmp_path, server) as (_, listen):
-            one = await client(listen)
-            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
-            while not server.requests:
-                await asyncio.sleep(0.01)
+            one = await _holding(listen, server)
             one.send(half)
             async with asyncio.timeout(STOPPED_S):
                 if served:
@@ -198,10 +204,7 @@
     async def scene() -> None:
         server = FakeServer("s-0", _answers)
         async with program(tmp_path, server) as (_, listen):
-            one = await client(listen)
-            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
-            while not server.requests:
-                await asyncio.sleep(0.01)
+            one = await _holding(listen, server)
             one.writer.write(CHUNKED + b"f800\r\n" + bytes(0xF800) + b"\r\n")
             await asyncio.sleep(0.2)
             one.writer.write(b"zz\r\n" + b"x" * 10_000)
@@ -217,10 +220,7 @@
     async def scene() -> None:
         server = FakeServer("s-0", _answers)
         async with program(tmp_path, server) as (_, listen):
-            one = await client(listen)
-            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
-            while not server.requests:
-                await asyncio.sleep(0.01)
+            one = await _holding(listen, server)
             one.send(request("pay", body=bytes(1_000_000), X_Call_Id="large", budget="30.0"))
             await asyncio.sleep(STOPPED_S)
             server.answer_held(answer(200, b"served"))
@@ -236,10 +236,7 @@
     async def scene() -> None:
         server = FakeServer("s-0", _answers)
         async with program(tmp_path, server) as (_, listen):
-            one = await client(listen)
-            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
-            while not server.requests:
-                await asyncio.sleep(0.01)
+            one = await _holding(listen, server)
             one.send(POST[:30])
             pieces = [b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", *([bytes(20_000)] * 5)]
             for piece in pieces:
@@ -289,10 +286,7 @@
         server = FakeServer("s-0", _answers)
         async with program(tmp_path, server) as (_, listen):
             use(Pair(client=MSGPACK_RPC))
-            one = await client(listen)
-            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
-            while not server.requests:
-                await asyncio.sleep(0.01)
+            one = await _holding(listen, server)
             await halves(one, server)
             one.close()
 
@@ -304,10 +298,7 @@
         server = FakeServer("s-0", _answers)
         async with program(tmp_path, server) as (_, listen):
             use(Pair(client=MSGPACK_RPC))
-            one = await client(listen)
-            one.send(request("pay", path="/api/held", body=b"x", X_Call_Id="held", budget="30.0"))
-            while not server.requests:
-                await asyncio.sleep(0.01)
+            one = await _holding(listen, server)
             one.writer.write(_MESSAGE[:20])
             async with asyncio.timeout(STOPPED_S):
                 assert (await one.answer())[0] == 408
