Log each list from discovery, failed calls with their wait, and the terms at the start

Added: a line for each list that brings news or ends a failure (version, states, how long the call took, how long after the last word), the target and time of a failed call, the wait before the next and how many failed, and the terms that hold at the start. One test read the first line of the log as the answer to its signal: it now expects the start's line first, as strictly as before.

--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -324,6 +324,8 @@
 
         async with program(tmp_path, server, old) as (process, listen):
             await until(lambda: old.targets)
+            begun = await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)
+            assert b"list at the start" in begun
             for junk in ("not json", json.dumps(config(discovery="nowhere"))):
                 path.write_text(junk, encoding="utf-8")
                 process.send_signal(signal.SIGHUP)
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -369,7 +369,11 @@
         """After a failed call: wait twice as long each time, with jitter, so that instances spread out."""
         wait = asking.wait_after(self._failed_calls, self.others.most, self._settings.rules.ask_within_us)
         self._failed_calls = min(self._failed_calls + 1, 8)
-        self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
+        wait *= 0.5 + 0.5 * self._random.random()
+        self._ask_in(wait)
+        self._actions.append(
+            Log(f"list asked for again in {wait / 1e6:.2f} s: {self._failed_calls} calls failed")
+        )
 
     def _servers_listed(self, event: ServersListed) -> None:
         if event.kind is ListKind.FAILED:
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -284,6 +284,15 @@
         if self._trace is not None:
             classes = [(each.name, each.worth, each.aim_us) for each in self._settings.classes]
             self._trace.begin(self._clock.now(), classes, self._settings.group_size)
+        rules = self._settings.rules
+        log.info(
+            "list at the start: version %d, %d servers; ask within %.1f s, drain grace %.2f s, %d sidecars",
+            self._known.version,
+            len(self._known.lines),
+            rules.ask_within_us / 1e6,
+            rules.drain_grace_us / 1e6,
+            self._settings.group_size,
+        )
         self._remember(self._known)
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
--- a/topazbank/membership/registry.py
+++ b/topazbank/membership/registry.py
@@ -8,6 +8,7 @@
 import math
 import random
 import re
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -211,7 +212,9 @@
         return max(asking.watch_s(self._others.most) * spread, asking.WATCH_LEAST_S)
 
     async def _ask(self, target: str, limit_s: float) -> bool:
+        loop = asyncio.get_running_loop()
         told: Told | None = None
+        former, began = self._version, loop.time()
         self._fell_silent = False
         try:
             async with asyncio.timeout(limit_s):
@@ -219,18 +222,43 @@
                 self._version = told.version
         except TimeoutError:
             self._fell_silent = True
-            log.warning("discovery: no answer in %.1f s", limit_s)
+            log.warning("discovery: no answer in %.1f s to %s", limit_s, target)
         except (OSError, ValueError, RecursionError) as fault:
-            log.warning("discovery: %s", fault or type(fault).__name__)
+            reason = fault or type(fault).__name__
+            log.warning("discovery: %s after %.2f s to %s", reason, loop.time() - began, target)
         except Exception:
             # A defect.  Guards against a watch that ends without a word: none would begin after it.
             log.exception("discovery: a call could not be read")
-        self._failed = told is None
         if told is not None:
-            self._heard_at = asyncio.get_running_loop().time()
+            self._log_answer(told, former, loop.time() - began)
+            self._heard_at = loop.time()
+        self._failed = told is None
         self._told(told)
         return told is not None
 
+    def _log_answer(self, told: Told, former: int | None, took_s: float) -> None:
+        """Log news, and the first answer after a failed call; a watch that ran out with nothing says nothing."""
+        if told.version == former and not self._failed:
+            return
+        heard_at = self._heard_at
+        age = (
+            "first"
+            if heard_at is None
+            else f"{asyncio.get_running_loop().time() - heard_at:.2f} s after the last"
+        )
+        states = Counter(line.server.state.value for line in told.lines)
+        what = "whole list" if told.complete else "changes"
+        counts = ", ".join(f"{count} {state}" for state, count in sorted(states.items())) or "none"
+        log.info(
+            "discovery: %s, version %s to %d: %s; took %.2f s, %s",
+            what,
+            former,
+            told.version,
+            counts,
+            took_s,
+            age,
+        )
+
     @staticmethod
     def _read(response: HttpResponse | None) -> Told:
         if response is None:
