Calls for the list are begun on a schedule bounded by when news are due

Cause: each wait between calls for the list came from the size of the fleet and from what the settings allow without asking (0.8 of 10 s from 128 sidecars on), and began only once the call before had failed. What counts is 6 s after discovery had a change and could be reached, 4 s after a SIGHUP, 2 s after an upgrade's process is ready. Ruled out: a slow registry (calls took 0.05 to 0.5 s), a late event loop (no line in the looks), late dials (no violation counted).

The class: a wait for a next step that is bounded by no term, and whose clock begins with an event of ours.

Now sight/poll_schedule.py (was asking.py) is the one owner of these waits: calls begin at most 3 s apart until one is answered, whatever became of those before, so two fit before news are due. The registry's client makes polls that do not wait, up to three beside one another, until one is answered, and only then a watch; a silent watch, a move and an upgrade begin with a poll at once; a move to the same place keeps whole lists that are asked for already; signals of one turn of the loop are one reread; a defect in taking a list ends no watch. A list that is handed over tells a version of which nothing waits to be taken.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -43,7 +43,7 @@
     "msgpackrpc/server.py",
     "msgpackrpc/mapping.py",
     "msgpackrpc/client.py",
-    "sight/asking.py",
+    "sight/poll_schedule.py",
     "sight/fading.py",
     "sight/hearsay.py",
     "sight/others.py",
--- a/tests/fleet/test_crowd.py
+++ b/tests/fleet/test_crowd.py
@@ -8,7 +8,7 @@
 
 from standins.fleet import crowd
 from topazbank.core.bounds import Fleet, bounds, connections_each, list_calls_a_second
-from topazbank.sight.asking import WATCH_LEAST_S, WATCH_MOST_S, watch_s
+from topazbank.sight.poll_schedule import WATCH_LEAST_S, WATCH_MOST_S, watch_s
 from topazbank.wirenames import settings_from_wire
 
 
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -183,3 +183,21 @@
         where = {each.name: each.address for each in made.endpoints.values()}
         assert {name: address for address, there in made._at.items() for name in there} == where
         assert all(made._at.values())
+
+
+def test_the_version_that_is_handed_over_is_one_of_which_all_is_taken() -> None:
+    # A process that begins from a list with a later version than its lines are of would never hear of the rest.
+    listing = Listing()
+    listing.told(0.0, Told(7, True, [line(f"n-{each}") for each in range(3 * STEP)]))
+    while listing.waits():
+        assert listing.taken_version == 0
+        listing.take()
+    assert listing.taken_version == listing.version == 7
+    listing.told(1.0, Told(8, False, [line(f"n-{each}", DRAINING) for each in range(STEP + 1)]))
+    listing.take()
+    assert (listing.taken_version, listing.version) == (7, 8)
+    listing.take()
+    assert listing.taken_version == 8
+    listing.told(2.0, Told(9, False, []))
+    listing.take()
+    assert listing.taken_version == 9
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -72,9 +72,9 @@
         loop.add_signal_handler(each, stop.set)
     service = Service(config, wiring)
     running = Running(service.sidecar, operator, operator_file)
-    loop.add_signal_handler(signal.SIGHUP, running.reread)
+    loop.add_signal_handler(signal.SIGHUP, running.reread_soon)
     if early.came:
-        loop.call_soon(running.reread)
+        running.reread_soon()
     await service.run(stop)
 
 
@@ -85,6 +85,17 @@
         self.sidecar = sidecar
         self._operator = operator
         self._operator_file = operator_file
+        self._rereads = False  # whether the next turn of the loop rereads the files
+
+    def reread_soon(self) -> None:
+        """Reread the files in the loop's next turn, once for all signals that came until then."""
+        if not self._rereads:
+            self._rereads = True
+            asyncio.get_running_loop().call_soon(self._reread_now)
+
+    def _reread_now(self) -> None:
+        self._rereads = False
+        self.reread()
 
     def reread(self) -> None:
         """Turn to the files as they are now: discovery may have moved, and the list's sources; all else stays.
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -55,7 +55,7 @@
     Tell,
     TimerFired,
 )
-from topazbank.sight import asking
+from topazbank.sight import poll_schedule
 from topazbank.sight.fading import Fit, Rate
 from topazbank.sight.hearsay import Hearsay, tag_of
 from topazbank.sight.others import Others
@@ -134,6 +134,8 @@
 STEEP = 4.0  # pressure at a full window: of the typical requests one in fifty is let in
 SLANT = 2.0  # the least worthy feel this many times the pressure, the most worthy almost none
 
+CALLS_COUNTED_MOST = 8  # calls for the list since its last answer: from some on all gaps are the longest
+
 # -- Records ------------------------------------------------------------------------------------------
 
 
@@ -248,6 +250,9 @@
         self._guide = guide
         self.spending: Spending | None = None  # what the whole fleet has left: it can only tighten
         self._random = random.Random(seed)
+        self._poll_chance = random.Random(
+            str(seed)
+        )  # of its own: calls for the list change no choice of servers
         self._classes = {each.name: each for each in settings.classes}
         self._traffic = Traffic(settings)
         self._longest_aim = max(each.aim_us for each in settings.classes)
@@ -283,7 +288,8 @@
         self._timer_due: int | None = None
         self._stall = Stall(min(each.aim_us for each in settings.classes), settings.tick_us)
         self._begun = False
-        self._failed_calls = 0
+        self._failed_calls = 0  # calls for the list, since the last answer
+        self._calls_begun = 0  # likewise
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
         self._young = 0  # the load: attempts out whose aim is not past, at servers that are not ejected
@@ -335,8 +341,8 @@
             self._size_window()
         if not self._begun:
             self._begun = True
-            spread = asking.first_spread(self.others.most, self._settings.rules.ask_within_us)
-            self._ask_in(spread * self._random.random()) if spread > 0.0 else self._ask()
+            spread = poll_schedule.first_call_spread(self.others.most, self._settings.rules.ask_within_us)
+            self._ask_in(spread * self._poll_chance.random()) if spread > 0.0 else self._ask()
         self._take[type(event)](event)
         self._take_turns()
         self._tell_others()
@@ -352,35 +358,43 @@
     # -- The server list ------------------------------------------------------------------------------
 
     def _ask(self) -> None:
-        """Follow the list where it must be asked for.
-
-        A call that is never answered is made again: an instance may not pass `ask_within_us` unheard.
-        """
+        """Follow the list where it must be asked for, and again after a gap unless an answer comes first."""
         if self._settings.discovery is Discovery.ON_REQUEST:
             self._actions.append(Follow(True))
-            self._ask_in(asking.MOST * self._settings.rules.ask_within_us)
+            self._ask_after_gap()
 
     def _ask_in(self, wait: float) -> None:
         """Ask after this wait, in place of any earlier plan."""
         self._ask_due = self._now + int(wait)
         self._schedule(self._ask_due, _ASK, _WHOLE)
 
-    def _ask_again_later(self) -> None:
-        """After a failed call: wait twice as long each time, with jitter, so that instances spread out."""
-        wait = asking.wait_after(self._failed_calls, self.others.most, self._settings.rules.ask_within_us)
-        self._failed_calls = min(self._failed_calls + 1, 8)
-        wait *= 0.5 + 0.5 * self._random.random()
-        self._ask_in(wait)
+    def _ask_after_gap(self) -> None:
+        """Ask again after a gap that grows with each call since the last answer, however those calls end."""
+        allowed_us = self._settings.rules.ask_within_us
+        gap = poll_schedule.retry_gap(
+            self._calls_begun, self.others.most, allowed_us, self._poll_chance.random()
+        )
+        self._calls_begun = min(self._calls_begun + 1, CALLS_COUNTED_MOST)
+        self._ask_in(gap)
+
+    def _list_call_failed(self) -> None:
+        """Plan the next call, unless it is planned already: a call's failure puts off none."""
+        self._failed_calls = min(self._failed_calls + 1, CALLS_COUNTED_MOST)
+        if self._settings.discovery is not Discovery.ON_REQUEST:
+            return
+        if self._ask_due is None:
+            self._ask_after_gap()
+        wait_s = max((self._ask_due or 0) - self._now, 0) / 1e6
         self._actions.append(
-            Log(f"list asked for again in {wait / 1e6:.2f} s: {self._failed_calls} calls failed")
+            Log(f"list asked for again in {wait_s:.2f} s: {self._failed_calls} calls failed")
         )
 
     def _servers_listed(self, event: ServersListed) -> None:
         if event.kind is ListKind.FAILED:
-            self._ask_again_later()
+            self._list_call_failed()
             return
         if event.kind is not ListKind.REMEMBERED:
-            self._failed_calls = 0
+            self._failed_calls = self._calls_begun = 0
             self._ask_due = None
         touched = self._gone + [self._server_listed(line) for line in event.servers]
         if event.kind is not ListKind.CHANGES:
--- a/topazbank/core/bounds.py
+++ b/topazbank/core/bounds.py
@@ -15,7 +15,7 @@
     REACH_PER_BUSY,
 )
 from topazbank.interface import Settings
-from topazbank.sight import asking
+from topazbank.sight import poll_schedule
 from topazbank.sight.hearsay import EVERY_LEAST_US, SENDERS_MOST
 from topazbank.sight.soundings import ASKED, can_tell
 from topazbank.tier.rules import HELPERS, SUSPECTS_PROBED, TOMB_EVERY, Rules
@@ -64,11 +64,14 @@
 def list_calls_a_second(fleet: Fleet, outage: bool) -> float:
     """At the busiest, in the mean of a second: watches that run out, or in an outage calls made again.
 
-    Owners: `sight.asking.watch_s`, and `Balancer._ask_again_later` in an outage.
+    Owners: `sight.poll_schedule`.
     """
     if outage:
         return fleet.sidecars / (0.5 * again_most_s(fleet))
-    return fleet.sidecars / max((1.0 - asking.SPREAD) * asking.watch_s(fleet.sidecars), asking.WATCH_LEAST_S)
+    return fleet.sidecars / max(
+        (1.0 - poll_schedule.WATCH_CHANCE) * poll_schedule.watch_s(fleet.sidecars),
+        poll_schedule.WATCH_LEAST_S,
+    )
 
 
 def busiest_second(fleet: Fleet, outage: bool) -> float:
@@ -77,7 +80,9 @@
     Owner: `Balancer.handle`, which spreads the first call over what is left of the time allowed without one.  News
     goes to every watch, and so each news costs a call of each sidecar.
     """
-    spread_s = max(asking.first_spread(fleet.sidecars, fleet.settings.rules.ask_within_us) / 1e6, 1.0)
+    spread_s = max(
+        poll_schedule.first_call_spread(fleet.sidecars, fleet.settings.rules.ask_within_us) / 1e6, 1.0
+    )
     starting = 2.0 * fleet.sidecars / spread_s
     news = float(fleet.sidecars) if outage else 0.0
     steady = list_calls_a_second(fleet, outage)
@@ -86,7 +91,7 @@
 
 def again_most_s(fleet: Fleet) -> float:
     """The longest wait between calls to a registry that fails, seconds."""
-    return asking.longest_wait(fleet.sidecars, fleet.settings.rules.ask_within_us) / 1e6
+    return poll_schedule.retry_gap_most(fleet.sidecars, fleet.settings.rules.ask_within_us) / 1e6
 
 
 def bounds(fleet: Fleet, seconds: float, starts: int = 0, outage: bool = False) -> dict[str, float]:
@@ -99,7 +104,7 @@
     waits = list_calls_a_second(fleet, False) * seconds + 2.0 * n * (1 + starts)
     failing = 0.0
     if outage:
-        doublings = math.log2(1.0 / asking.AGAIN) + 1.0
+        doublings = math.log2(1.0 / poll_schedule.FIRST_GAP) + 1.0
         failing = n * (1.0 + doublings) + list_calls_a_second(fleet, True) * seconds
     listeners = n - 1
     told = 0.0
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -74,6 +74,7 @@
 # Before a failed call to the agent that holds pushed lists is made again: what it has counts as told, watched or not,
 # so the call has to be through well within the shortest grace of a drain.
 _PUSHED_AGAIN_S = 0.2
+_PUSHED_BESIDE_S = 0.4  # and before one is made beside a call that it has not answered: it answers at once
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
 _FDS_KEPT = (
     48  # descriptors left for discovery, operators, logs and the runtime, of two processes in an upgrade
@@ -131,6 +132,7 @@
     operator: Address | None = None  # where operators call; None: nowhere
     others: Others | None = None  # the size of the tier, as it is seen; None: nobody looks
     folder: str | None = None  # where one process of a sidecar hands over to the next; None: nowhere
+    inherited: bool = False  # whether `known` is from the process before, in an upgrade
 
 
 class Observer(Guide, Protocol):
@@ -232,6 +234,10 @@
         self._dialects = wiring.dialects
         self._listing = Listing()
         self._stepping = False  # whether the next step of the list is due in the loop's next turn
+        self._inherited = config.inherited
+        self._following: asyncio.TimerHandle | None = (
+            None  # the next call to the agent that holds pushed lists
+        )
         self._source_of_list = 0  # counts the sources: what a former one tells late is not heard
         self._discovery = self._make_source(config, wiring)
         told = config.tier is not None and settings.limits.may_message
@@ -295,6 +301,8 @@
         )
         self._remember(self._known)
         if self._settings.discovery is DiscoveryMode.PUSHED:
+            self._follow_pushed()
+        elif self._inherited:
             self._discovery.follow(True)
         if self._peers is not None:
             await self._peers.start()
@@ -314,6 +322,8 @@
         lag.cancel()
         if self._observer is not None:
             self._observer.stop()
+        if self._following is not None:
+            self._following.cancel()
         self._discovery.stop()
         if self._tier_part is not None:
             self._tier_part.leave()
@@ -356,6 +366,7 @@
         self._dialects = wiring.dialects
         self._discovery = self._make_source(config, wiring)
         self._discovery.follow(True)
+        self._told(None)  # no answer yet: it is asked again until there is one
 
     def _make_source(self, config: Config, wiring: Wiring) -> Source:
         self._source_of_list += 1
@@ -397,8 +408,8 @@
 
     @property
     def known(self) -> Told:
-        """The list as it was taken so far."""
-        return Told(self._listing.version, True, self._listing.taken())
+        """The list as it was taken so far; its version is one of which nothing waits to be taken."""
+        return Told(self._listing.taken_version, True, self._listing.taken())
 
     @property
     def open(self) -> tuple[int, int]:
@@ -611,12 +622,20 @@
 
     def _told(self, told: Told | None) -> None:
         if told is not None:
+            if self._following is not None:
+                self._following.cancel()
+                self._following = None
             self._listing.told(asyncio.get_running_loop().time(), told)
             self._take_step()
             return
         self.handle(ServersListed(ListKind.FAILED))
-        if self._settings.discovery is DiscoveryMode.PUSHED:
-            asyncio.get_running_loop().call_later(_PUSHED_AGAIN_S, self._discovery.follow, True)
+        if self._settings.discovery is DiscoveryMode.PUSHED and self._following is None:
+            self._following = asyncio.get_running_loop().call_later(_PUSHED_AGAIN_S, self._follow_pushed)
+
+    def _follow_pushed(self) -> None:
+        """Follow the agent that holds pushed lists, and again at short intervals until it answers."""
+        self._discovery.follow(True)
+        self._following = asyncio.get_running_loop().call_later(_PUSHED_BESIDE_S, self._follow_pushed)
 
     def _remember(self, known: Told) -> None:
         """The list of before the start, taken whole: nobody waits yet."""
@@ -636,13 +655,7 @@
 
     def _take_lines(self, kind: ListKind, lines: Sequence[Listed]) -> None:
         """Note the addresses first: the balancer may send on hearing of a server."""
-        servers = []
-        for line in lines:
-            server, protocol = line.server, self._dialects.of(line)
-            if not self._nodes.speaks(protocol):
-                server, protocol = self._not_spoken(server, protocol), HTTP
-            self._nodes.update(server.server, line.address, server.started_at, server.state, protocol)
-            servers.append(server)
+        servers = [self._noted(line) for line in lines]
         for name in self._nodes.displace(self._listing.awaits):
             self._listing.displaced(name)
             servers.append(ListedServer(name, state=ServerState.GONE))
@@ -650,6 +663,17 @@
             self._observer.listed(servers)
         self.handle(ServersListed(kind, servers, self._listing.version))
 
+    def _noted(self, line: Listed) -> ListedServer:
+        """Note what a line says of its server's connections; a defect there keeps no other line from being taken."""
+        server, protocol = line.server, self._dialects.of(line)
+        if not self._nodes.speaks(protocol):
+            server, protocol = self._not_spoken(server, protocol), HTTP
+        try:
+            self._nodes.update(server.server, line.address, server.started_at, server.state, protocol)
+        except Exception:
+            log.exception("could not take %.200r", line)
+        return server
+
     def _show_roster(self) -> bytes:
         """The list as it stands: each node's state, address and protocol, whose word that is and how old."""
         now = asyncio.get_running_loop().time()
--- a/topazbank/core/listing.py
+++ b/topazbank/core/listing.py
@@ -18,6 +18,7 @@
 
     def __init__(self) -> None:
         self.version = 0  # the newest that was told
+        self.taken_version = 0  # the newest of which nothing waits any more
         self._taken: dict[str, Listed] = {}
         self._leaving: dict[str, Listed] = {}  # wait: nodes that take nothing new; at most one line a node
         self._others: dict[str, Listed] = {}  # wait: the rest, likewise
@@ -89,6 +90,8 @@
             else:
                 self._taken[name] = line
             lines.append(line)
+        if not self.waits():
+            self.taken_version = self.version
         return lines
 
     def displaced(self, name: str) -> None:
--- a/topazbank/membership/registry.py
+++ b/topazbank/membership/registry.py
@@ -10,13 +10,14 @@
 import re
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from topazbank.core.members import Listed, Standing, Told
 from topazbank.core.net import Address, parse_address
 from topazbank.http.connection import Connection, HttpResponse, connect, message
 from topazbank.interface import ListedServer, ServerState
-from topazbank.sight import asking
+from topazbank.sight import poll_schedule
 from topazbank.sight.others import Others
 
 log = logging.getLogger(__name__)
@@ -27,6 +28,8 @@
 _LATE_S = 0.3
 _DIAL_S = 1.5  # for a connection to come up: the kernel asks once more after a second
 _CALL_S = 5.0  # what a call that does not wait may take
+_POLLS_MOST = 3  # polls out at a time; beyond that the oldest is given up
+_POLL_AGAIN_S = 0.15  # a poll that was begun so lately is not doubled
 _IDLE_S = 0.1  # between watches that come back at once with nothing, well within the 200 ms of one watch
 _LIST_MOST = 8 * 1024 * 1024
 _WHOLE_MOST = 2**52  # of a whole number in the list: in microseconds it must fit 64 bits
@@ -120,8 +123,21 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """What came of one call."""
+
+    told: Told | None  # None: it failed
+    silent: bool = False  # and nothing came in its time
+
+
 class Discovery:
-    """Watches the list while that is wanted; each call has a connection of its own."""
+    """Follows the list while that is wanted; each call has a connection of its own.
+
+    Two kinds of calls: polls, which do not wait, until one is answered; from then on a watch, which waits for news.
+    A watch that ends or falls silent ends with polls again.  Polls are begun as `follow` asks for them, beside those
+    that are still out: one that is lost on its way keeps none from being answered.
+    """
 
     def __init__(
         self,
@@ -140,34 +156,46 @@
         self._stopped = False
         self._heard_at: float | None = None
         self._failed = False  # whether the last call was in vain
-        self._fell_silent = False  # and nothing came in its time
         self._watch: asyncio.Task[None] | None = None
-        self._fetches: set[asyncio.Task[bool]] = set()  # as many as the balancer asks for, each for _CALL_S
+        self._polls: dict[
+            asyncio.Task[None], int | None
+        ] = {}  # the oldest first, each with the version it knows
+        self._polled_at = -math.inf
+        self._fetches: set[asyncio.Task[None]] = set()  # as many as the balancer asks for, each for _CALL_S
 
     def follow(self, wanted: bool) -> None:
-        """Begin a watch or end it; one that is under way goes on."""
+        """Begin to follow the list, or end that; while no call has been answered another poll is begun beside it."""
         if not wanted:
-            self._end_watch()
-        elif not self._stopped and (self._watch is None or self._watch.done()):
-            self._watch = asyncio.get_running_loop().create_task(self._keep_watch())
+            self._end_calls()
+        elif not self._stopped and self._watch is None and not self._polled_just_now():
+            self._poll()
 
     def fetch(self) -> None:
         """Ask once for the whole list."""
-        task = asyncio.get_running_loop().create_task(self._ask(_PATH, _CALL_S))
+        task = asyncio.get_running_loop().create_task(self._fetch())
         self._fetches.add(task)
-        task.add_done_callback(lambda done: self._fetches.discard(done))
+        task.add_done_callback(self._fetches.discard)
 
     def move(self, address: Address) -> None:
-        """Ask at another place from now on, and at once: what was heard at the old one may be behind."""
+        """Ask for the whole list at another place from now on, and at once: what was heard may be behind.
+
+        Where the place is the same, whole lists that are asked for already are waited for still: however often it is
+        named anew, a slow service has its time to answer.
+        """
+        if address != self._address:
+            for fetch in self._fetches:
+                fetch.cancel()
+            self._end_calls()
         self._address, self._version = address, None
-        for fetch in self._fetches:
-            fetch.cancel()
         self._end_watch()
-        self.follow(True)
+        self._end_polls(lambda known: known is not None)
+        if not self._stopped:
+            self._poll()
+            self._tell(None)  # no answer yet: more polls are to follow until there is one
 
     def stop(self) -> None:
         self._stopped = True
-        self._end_watch()
+        self._end_calls()
 
     def standing(self) -> tuple[Standing, ...]:
         return (Standing("registry", not self._failed and self._heard_at is not None, self._heard_at),)
@@ -175,89 +203,137 @@
     def source_of(self, name: str) -> str:
         return "registry"
 
-    def _end_watch(self) -> None:
-        if self._watch is not None:
-            self._watch.cancel()
-            self._watch = None
+    # -- Polls and watches ----------------------------------------------------------------------------
+
+    def _polled_just_now(self) -> bool:
+        return bool(self._polls) and asyncio.get_running_loop().time() < self._polled_at + _POLL_AGAIN_S
+
+    def _poll(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._polled_at = loop.time()
+        while len(self._polls) >= _POLLS_MOST:
+            self._end_poll(next(iter(self._polls)))
+        self._polls[loop.create_task(self._catch_up(self._version))] = self._version
+
+    async def _catch_up(self, version: int | None) -> None:
+        """One poll; with its answer the watch begins, and the other polls end."""
+        target = _PATH if version is None else f"{_PATH}?after={version}&wait_ms=0"
+        began = asyncio.get_running_loop().time()
+        answer = await self._ask(target, _CALL_S)
+        this = asyncio.current_task()
+        assert this is not None
+        self._polls.pop(this, None)
+        if answer.told is None:
+            self._tell(None)
+            return
+        self._end_polls()
+        self._watch = this
+        self._take(answer.told)
+        await self._pause_if_idle(version, began)
+        await self._keep_watch()
 
     async def _keep_watch(self) -> None:
         """Call again as soon as a call is answered: later than 200 ms it would be a new watch.
 
-        So also after one that fell silent, and then for a short wait: what the silence kept back is late already, and a
-        service that is silent still is noticed after that.  Any other failed call ends the watch.
+        One that fell silent is followed by a poll at once, since what the silence kept back is late already.
         """
         loop = asyncio.get_running_loop()
-        silent = False
         while True:
             began, version = loop.time(), self._version
-            if version is None:
-                heard = await self._ask(_PATH, _CALL_S)
-            else:
-                wait_s = self._wait_s(silent)
-                target = f"{_PATH}?after={version}&wait_ms={int(wait_s * 1000)}"
-                heard = await self._ask(target, wait_s + _LATE_S)
-            silent = not heard and version is not None and self._fell_silent
-            if silent:
-                continue
-            if not heard:
-                return
-            if self._version == version and loop.time() < began + _IDLE_S:
-                await asyncio.sleep(_IDLE_S)  # guards against spinning on a service that does not wait
-
-    def _wait_s(self, silent: bool) -> float:
-        """How long the next watch may wait; `silent`: whether the one before it was."""
-        if silent:
-            return asking.check_s(self._others.most)
-        spread = 1.0 - asking.SPREAD * self._random.random()
-        return max(asking.watch_s(self._others.most) * spread, asking.WATCH_LEAST_S)
-
-    async def _ask(self, target: str, limit_s: float) -> bool:
+            wait_s = poll_schedule.watch_wait_s(self._others.most, self._random.random())
+            target = f"{_PATH}?after={version}&wait_ms={int(wait_s * 1000)}"
+            answer = await self._ask(target, wait_s + _LATE_S)
+            if answer.told is None:
+                break
+            self._take(answer.told)
+            await self._pause_if_idle(version, began)
+        self._watch = None
+        self._tell(None)
+        if answer.silent:
+            self.follow(True)
+
+    async def _pause_if_idle(self, version: int | None, began: float) -> None:
+        """Guards against spinning on a service that does not wait."""
+        if self._version == version and asyncio.get_running_loop().time() < began + _IDLE_S:
+            await asyncio.sleep(_IDLE_S)
+
+    def _end_calls(self) -> None:
+        self._end_watch()
+        self._end_polls()
+
+    def _end_watch(self) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+
+    def _end_polls(self, which: Callable[[int | None], bool] = lambda known: True) -> None:
+        """End polls that are out, by the version that they know."""
+        for poll, known in list(self._polls.items()):
+            if which(known):
+                self._end_poll(poll)
+
+    def _end_poll(self, poll: asyncio.Task[None]) -> None:
+        del self._polls[poll]
+        poll.cancel()
+
+    # -- Calls ----------------------------------------------------------------------------------------
+
+    async def _fetch(self) -> None:
+        told = (await self._ask(_PATH, _CALL_S)).told
+        if told is None:
+            self._tell(None)
+        else:
+            self._take(told)
+
+    def _take(self, told: Told) -> None:
+        self._version = told.version
+        self._tell(told)
+
+    def _tell(self, told: Told | None) -> None:
+        """Pass on what was heard; a defect there must not end the watch, as none would begin after it."""
+        self._failed = told is None
+        if told is not None:
+            self._heard_at = asyncio.get_running_loop().time()
+        try:
+            self._told(told)
+        except Exception:
+            log.exception("a list could not be taken")
+
+    async def _ask(self, target: str, limit_s: float) -> Answered:
         loop = asyncio.get_running_loop()
-        told: Told | None = None
-        former, began = self._version, loop.time()
-        self._fell_silent = False
+        began = loop.time()
         try:
             async with asyncio.timeout(limit_s):
                 told = self._read(await self._call(target))
-                self._version = told.version
         except TimeoutError:
-            self._fell_silent = True
             log.warning("discovery: no answer in %.1f s to %s", limit_s, target)
+            return Answered(None, silent=True)
         except (OSError, ValueError, RecursionError) as fault:
             reason = fault or type(fault).__name__
             log.warning("discovery: %s after %.2f s to %s", reason, loop.time() - began, target)
+            return Answered(None)
         except Exception:
             # A defect.  Guards against a watch that ends without a word: none would begin after it.
             log.exception("discovery: a call could not be read")
-        if told is not None:
-            self._log_answer(told, former, loop.time() - began)
-            self._heard_at = loop.time()
-        self._failed = told is None
-        self._told(told)
-        return told is not None
+            return Answered(None)
+        self._log_answer(told, loop.time() - began)
+        return Answered(told)
 
-    def _log_answer(self, told: Told, former: int | None, took_s: float) -> None:
+    def _log_answer(self, told: Told, took_s: float) -> None:
         """Log news, and the first answer after a failed call; a watch that ran out with nothing says nothing."""
-        if told.version == former and not self._failed:
+        if told.version == self._version and not self._failed:
             return
         heard_at = self._heard_at
-        age = (
-            "first"
-            if heard_at is None
-            else f"{asyncio.get_running_loop().time() - heard_at:.2f} s after the last"
-        )
+        now = asyncio.get_running_loop().time()
+        age = "first" if heard_at is None else f"{now - heard_at:.2f} s after the last"
         states = Counter(line.server.state.value for line in told.lines)
-        what = "whole list" if told.complete else "changes"
         counts = ", ".join(f"{count} {state}" for state, count in sorted(states.items())) or "none"
+        what = "whole list" if told.complete else "changes"
+        known = "nothing" if self._version is None else str(self._version)
         log.info(
             "discovery: %s, version %s to %d: %s; took %.2f s, %s",
-            what,
-            former,
-            told.version,
-            counts,
-            took_s,
-            age,
-        )
+            what, known, told.version, counts, took_s, age,
+        )  # fmt: skip
 
     @staticmethod
     def _read(response: HttpResponse | None) -> Told:
--- a/topazbank/operation/service.py
+++ b/topazbank/operation/service.py
@@ -108,7 +108,7 @@
 def _told(config: Config, known: Mapping[str, Any]) -> Config:
     """The configuration with the list as the process before had it, where that is one."""
     try:
-        return replace(config, known=parse_list(known.get("list")))
+        return replace(config, known=parse_list(known.get("list")), inherited=True)
     except ValueError as junk:
         log.warning("the list of the process before is not taken: %s", junk)
         return config
