Test: an agent that was silent is heard at its return, where lists are pushed

The scene swallows its calls for 3 s and drains a server at its return. A first form of the scene was wrong: it began the silence before the watch was open, which then may wait as long as it was told.

--- a/tests/incidents/test_drains_and_discovery.py
+++ b/tests/incidents/test_drains_and_discovery.py
@@ -46,6 +46,7 @@
 
     sidecars: int = 200
     ask_within_s: float = 10.0
+    discovery: str = "on_request"
 
 
 @dataclass(slots=True)
@@ -114,7 +115,7 @@
             "lanes": [{"name": "look", "giveUpUs": 3_000_000, "promiseUs": 500_000, "repeat": "read_like"}],
             "bounds": {"sendCap": 3, "mayCancel": True},
             "guarantees": {"drainGraceUs": 500_000, "askWithinUs": int(self.fleet.ask_within_s * 1e6)},
-            "discovery": "on_request",
+            "discovery": self.fleet.discovery,
             "groupSize": self.fleet.sidecars,
             "zone": "east",
         }
@@ -259,6 +260,16 @@
     former.stop()
 
 
+async def silence_the_agent(scene: Scene, one: One) -> None:
+    """Where lists are pushed, the agent says nothing for some seconds; what it has at its return counts at once."""
+    await until(lambda: one.registry.list_calls)
+    await asyncio.sleep(0.5)  # its watch is open
+    one.registry.trouble = Trouble.SWALLOWED
+    one.registry.end_watches()
+    await asyncio.sleep(3.0)
+    one.drain(scene.servers[0].entry(), told_s=0.0)
+
+
 FAULTS: Mapping[str, tuple[Fleet, Callable[[Scene, One], Awaitable[None]]]] = {
     "refused, 200 sidecars": (Fleet(200, 15.0), fail_until(Trouble.REFUSED, 4)),
     "held, 200 sidecars": (Fleet(200, 15.0), fail_until(Trouble.HELD, 3)),
@@ -266,6 +277,7 @@
     "swallowed after a failure": (Fleet(), swallow_the_call_after_a_failure),
     "signals while discovery is slow": (Fleet(), signal_while_discovery_is_slow),
     "swallowed after a signal": (Fleet(), swallow_the_call_after_a_signal),
+    "pushed, and the agent silent": (Fleet(discovery="pushed"), silence_the_agent),
 }
 
 
