Following the list has a module of its own, and so has the list's form

Need: readable code. The driver held the list's source, its steps, the calls to an agent and what lines say of connections beside its requests; the registry's client held the list's form beside its calls.

Behaviour does not change. The whole suite ran on it: 3 of its tests failed, all by one call of a stand-in to a method that has moved; mended, and those files run again with the membership and operation tests.

--- a/benchmarks/list_hold.py
+++ b/benchmarks/list_hold.py
@@ -89,7 +89,7 @@
 
 
 def settled(made: Sidecar) -> bool:
-    return not made._listing.waits()
+    return not made.server_list.listing.waits()
 
 
 class Turns:
@@ -120,10 +120,10 @@
     holds, steps = [], 0
     for _ in range(WHOLE_ROUNDS):
         made = Sidecar(config, wire(Operator()))
-        made._discovery.stop()  # nobody answers there
+        made.server_list.source.stop()  # nobody answers there
         turns = Turns()
         began = time.perf_counter()
-        made._told(Told(1, True, whole))
+        made.server_list.told(Told(1, True, whole))
         turns.longest_s = time.perf_counter() - began
         await turns.until(partial(settled, made))
         holds.append(turns.longest_s)
@@ -132,7 +132,7 @@
 
     def change(number: int) -> None:
         line = whole[size // 2]
-        made._told(
+        made.server_list.told(
             Told(2, False, [Listed(lines_of_one(line.server, states[number % 2]), line.address, "http")])
         )
 
--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -27,6 +27,7 @@
     "core/connection_states.py",
     "core/counters.py",
     "core/driver.py",
+    "core/list_follower.py",
     "core/listener.py",
     "core/net.py",
     "core/nodes.py",
--- a/standins/fleet/crowd.py
+++ b/standins/fleet/crowd.py
@@ -35,7 +35,7 @@
 from topazbank.core.driver import Config, Sidecar
 from topazbank.core.trace import Trace
 from topazbank.interface import Action, Event, Fail, Probe, Refuse, Send, ServersListed, Settings, Tell
-from topazbank.membership.registry import parse_list
+from topazbank.membership.list_format import parse_list
 from topazbank.operator import Operator
 from topazbank.wirenames import settings_from_wire
 from topazbank.wiring import wire
@@ -125,7 +125,7 @@
             sidecar.frontend.stop()
             for connection in sidecar.frontend.connections:
                 connection.abort()
-            sidecar._discovery.stop()
+            sidecar.server_list.source.stop()
             await sidecar._nodes.close()
         await asyncio.sleep(0)
 
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -128,7 +128,7 @@
         for process in self.processes:
             if process is not None:
                 process.task.cancel()
-                process.sidecar._discovery.stop()
+                process.sidecar.server_list.source.stop()
                 process.sidecar.frontend.stop()
         for number in range(len(self.planners)):
             self.kill_planner(number)
@@ -288,7 +288,7 @@
 
     def sources(self) -> list[Any]:
         """The sidecars' own ensemble sources."""
-        several = [each.sidecar._discovery for each in self.processes if each is not None]
+        several = [each.sidecar.server_list.source for each in self.processes if each is not None]
         return [each._sources[ZOOKEEPER] for each in several if not isinstance(each, Silent)]  # type: ignore[attr-defined]
 
     def _membership(self) -> Membership:
--- a/standins/fleet/worker.py
+++ b/standins/fleet/worker.py
@@ -17,7 +17,7 @@
 from standins.fleet.calling import Clients, Ears, now
 from standins.wire import Address
 from topazbank.core.driver import Config, Sidecar
-from topazbank.membership.registry import parse_list
+from topazbank.membership.list_format import parse_list
 from topazbank.operator import MsgpackRpc, Operator, Planning
 from topazbank.planning.forwarder import Forwarding
 from topazbank.wirenames import settings_from_wire
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -20,7 +20,7 @@
 from standins.wire import HTTP, MSGPACK_RPC, Asked, Listening, Reply, pack, read_http, read_rpc, reset
 from topazbank.core.driver import Config, Sidecar
 from topazbank.core.net import Address
-from topazbank.membership.registry import parse_list
+from topazbank.membership.list_format import parse_list
 from topazbank.operator import Membership, MsgpackRpc, Operator
 from topazbank.wiring import wire
 
--- a/tests/membership/test_zookeeper.py
+++ b/tests/membership/test_zookeeper.py
@@ -80,7 +80,7 @@
 
     @property
     def source(self) -> ZooKeeperSource:
-        several: Any = self.w.sidecar._discovery
+        several: Any = self.w.sidecar.server_list.source
         made = several._sources[ZOOKEEPER]
         assert isinstance(made, ZooKeeperSource)
         return made
@@ -203,7 +203,7 @@
             for number in range(10):
                 assert (await s.w.ask(X_Call_Id=f"c-{number}"))[0] == 200
             assert s.ready == {"s-0", "s-1"}
-            standing = s.w.sidecar._discovery.standing()[0]
+            standing = s.w.sidecar.server_list.source.standing()[0]
             assert not standing.can_know and standing.heard_at is not None
             s.ensemble.restore()
             # While it was away one node ended; the ensemble says so before the sidecar is back.
--- a/tests/msgpackrpc/simulated.py
+++ b/tests/msgpackrpc/simulated.py
@@ -329,7 +329,7 @@
             HttpConnection, RpcConnection, carriers, lambda *_: _NoSource(), dialects=Dialects(MSGPACK_RPC)
         )
         self.sidecar = Sidecar(config, wiring, Clock(lambda: int(loop.time() * 1e9)))
-        self.sidecar._remember(config.known)
+        self.sidecar.server_list.begin(at_once=False)
         self._frontend: Frontend = self.sidecar.frontend
 
     def check(self, kept: bool, rule: str) -> None:
@@ -362,7 +362,7 @@
     def drain(self, node: Node) -> None:
         node.drained = True
         server = ListedServer(node.name, "east", "m", 1, ServerState.DRAINING)
-        self.sidecar._told(Told(2, False, [Listed(server, ("127.0.0.1", 9))]))
+        self.sidecar.server_list.told(Told(2, False, [Listed(server, ("127.0.0.1", 9))]))
 
     async def settle(self) -> None:
         """Let all time pass that anything may take, and judge."""
--- a/tests/msgpackrpc/test_third_party.py
+++ b/tests/msgpackrpc/test_third_party.py
@@ -12,7 +12,7 @@
 
 from standins.wire import HTTP, MSGPACK_RPC
 from topazbank.core.driver import Config, Sidecar
-from topazbank.membership.registry import parse_list
+from topazbank.membership.list_format import parse_list
 from topazbank.operator import MsgpackRpc, Operator
 from topazbank.wiring import wire
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,7 +13,8 @@
 from topazbank.core.members import Told
 from topazbank.interface import ServerState
 from topazbank.membership import registry
-from topazbank.membership.registry import _IDLE_S, Discovery, parse_list
+from topazbank.membership.list_format import parse_list
+from topazbank.membership.registry import _IDLE_S, Discovery
 from topazbank.sight import poll_schedule
 from topazbank.sight.others import Others
 
--- a/topazbank/config.py
+++ b/topazbank/config.py
@@ -10,7 +10,7 @@
 from topazbank.core.members import Told
 from topazbank.core.net import Address, parse_address
 from topazbank.core.peers import Tier
-from topazbank.membership.registry import parse_list
+from topazbank.membership.list_format import parse_list
 from topazbank.operator import Operator
 from topazbank.wirenames import settings_from_wire
 
--- a/topazbank/core/driver.py
+++ b/topazbank/core/driver.py
@@ -22,11 +22,11 @@
 from topazbank.core.body import Spool
 from topazbank.core.call import FAILED, Answer, Call, Hooks, Response, Rulebook, Verdict
 from topazbank.core.counters import Counters
+from topazbank.core.list_follower import ListFollower
 from topazbank.core.listener import Frontend, Speaks
-from topazbank.core.listing import Listing
-from topazbank.core.members import Dialects, Listed, Source, Told
+from topazbank.core.members import Dialects, Source, Told
 from topazbank.core.net import Address
-from topazbank.core.nodes import HTTP, Attempt, Carrier, Nodes, Slots, Terms
+from topazbank.core.nodes import Attempt, Carrier, Nodes, Slots, Terms
 from topazbank.core.peers import Peers, Tier
 from topazbank.core.request_rules import Denied, RequestRules
 from topazbank.core.timers import Timer, Timers
@@ -54,7 +54,6 @@
     RequestGone,
     Send,
     ServersListed,
-    ServerState,
     SetTimer,
     Settings,
     Spending,
@@ -71,10 +70,6 @@
 _DRAIN_STEP_S = 0.02  # how often a drain looks at what is left
 _LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
 _LAG_TOLD_S = 0.05  # and from when on it is logged
-# Before a failed call to the agent that holds pushed lists is made again: what it has counts as told, watched or not,
-# so the call has to be through well within the shortest grace of a drain.
-_PUSHED_AGAIN_S = 0.2
-_PUSHED_BESIDE_S = 0.4  # and before one is made beside a call that it has not answered: it answers at once
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
 _FDS_KEPT = (
     48  # descriptors left for discovery, operators, logs and the runtime, of two processes in an upgrade
@@ -231,15 +226,10 @@
         for protocol, carrier in wiring.carriers(settings, self._nodes.slots).items():
             self._nodes.add(protocol, carrier)
         self._known = config.known
-        self._dialects = wiring.dialects
-        self._listing = Listing()
-        self._stepping = False  # whether the next step of the list is due in the loop's next turn
         self._inherited = config.inherited
-        self._following: asyncio.TimerHandle | None = (
-            None  # the next call to the agent that holds pushed lists
-        )
-        self._source_of_list = 0  # counts the sources: what a former one tells late is not heard
-        self._discovery = self._make_source(config, wiring)
+        pushed = settings.discovery is DiscoveryMode.PUSHED
+        self.server_list = ListFollower(config.known, pushed, self._nodes, self._servers_listed)
+        self.server_list.come_from(partial(wiring.source, self._with_others(config)), wiring.dialects)
         told = config.tier is not None and settings.limits.may_message
         self._peers = None
         self._tier_part: TierPart | None = None
@@ -269,8 +259,8 @@
             SetTimer: self._set_timer,
             Probe: self._probe,
             CloseIdle: lambda action: self._nodes.close_idle(action.server),
-            Follow: lambda action: self._discovery.follow(action.wanted),
-            FetchList: lambda _: self._discovery.fetch(),
+            Follow: lambda action: self.server_list.source.follow(action.wanted),
+            FetchList: lambda _: self.server_list.source.fetch(),
             Tell: self._tell,
             Log: lambda action: log.info("%s", action.text),
         }
@@ -299,11 +289,7 @@
             rules.drain_grace_us / 1e6,
             self._settings.group_size,
         )
-        self._remember(self._known)
-        if self._settings.discovery is DiscoveryMode.PUSHED:
-            self._follow_pushed()
-        elif self._inherited:
-            self._discovery.follow(True)
+        self.server_list.begin(at_once=self._inherited)
         if self._peers is not None:
             await self._peers.start()
             if self._tier_part is not None:
@@ -322,9 +308,7 @@
         lag.cancel()
         if self._observer is not None:
             self._observer.stop()
-        if self._following is not None:
-            self._following.cancel()
-        self._discovery.stop()
+        self.server_list.stop()
         if self._tier_part is not None:
             self._tier_part.leave()
             self._tier_part.stop()
@@ -356,27 +340,16 @@
 
     def move_discovery(self, address: Address) -> None:
         """Go on with discovery at another address; also where it is the same, asked for by name."""
-        log.info("discovery is at %s:%d now", *address)
-        self._discovery.move(address)
+        self.server_list.move(address)
 
     def replace_source(self, config: Config, wiring: Wiring) -> None:
         """Turn to another source of the list; the list as it is holds until the new one has told a whole one."""
         log.info("the list comes from other sources now")
-        self._discovery.stop()
-        self._dialects = wiring.dialects
-        self._discovery = self._make_source(config, wiring)
-        self._discovery.follow(True)
-        self._told(None)  # no answer yet: it is asked again until there is one
-
-    def _make_source(self, config: Config, wiring: Wiring) -> Source:
-        self._source_of_list += 1
-        number = self._source_of_list
-
-        def told(what: Told | None) -> None:
-            if number == self._source_of_list:
-                self._told(what)
+        self.server_list.come_from(partial(wiring.source, self._with_others(config)), wiring.dialects)
+        self.server_list.replaced()
 
-        return wiring.source(replace(config, others=self._balancer.others), told)
+    def _with_others(self, config: Config) -> Config:
+        return replace(config, others=self._balancer.others)
 
     def carry_out(self) -> None:
         """Carry out what holds of the sidecar as a whole, and look again while it is emptied."""
@@ -408,8 +381,8 @@
 
     @property
     def known(self) -> Told:
-        """The list as it was taken so far; its version is one of which nothing waits to be taken."""
-        return Told(self._listing.taken_version, True, self._listing.taken())
+        """The list as it was taken so far."""
+        return self.server_list.known
 
     @property
     def open(self) -> tuple[int, int]:
@@ -620,59 +593,10 @@
     def _set_timer(self, action: SetTimer) -> None:
         asyncio.get_running_loop().call_later(action.in_us / 1e6, self.handle, TimerFired(action.token))
 
-    def _told(self, told: Told | None) -> None:
-        if told is not None:
-            if self._following is not None:
-                self._following.cancel()
-                self._following = None
-            self._listing.told(asyncio.get_running_loop().time(), told)
-            self._take_step()
-            return
-        self.handle(ServersListed(ListKind.FAILED))
-        if self._settings.discovery is DiscoveryMode.PUSHED and self._following is None:
-            self._following = asyncio.get_running_loop().call_later(_PUSHED_AGAIN_S, self._follow_pushed)
-
-    def _follow_pushed(self) -> None:
-        """Follow the agent that holds pushed lists, and again at short intervals until it answers."""
-        self._discovery.follow(True)
-        self._following = asyncio.get_running_loop().call_later(_PUSHED_BESIDE_S, self._follow_pushed)
-
-    def _remember(self, known: Told) -> None:
-        """The list of before the start, taken whole: nobody waits yet."""
-        self._listing.told(asyncio.get_running_loop().time(), known)
-        self._take_lines(ListKind.REMEMBERED, self._listing.take(len(known.lines)))
-
-    def _take_step(self) -> None:
-        """Take some of what was told now, and the rest in the loop's next turns: requests go on between."""
-        self._take_lines(ListKind.CHANGES, self._listing.take())
-        if self._listing.waits() and not self._stepping:
-            self._stepping = True
-            asyncio.get_running_loop().call_soon(self._next_step)
-
-    def _next_step(self) -> None:
-        self._stepping = False
-        self._take_step()
-
-    def _take_lines(self, kind: ListKind, lines: Sequence[Listed]) -> None:
-        """Note the addresses first: the balancer may send on hearing of a server."""
-        servers = [self._noted(line) for line in lines]
-        for name in self._nodes.displace(self._listing.awaits):
-            self._listing.displaced(name)
-            servers.append(ListedServer(name, state=ServerState.GONE))
-        if self._observer is not None:
-            self._observer.listed(servers)
-        self.handle(ServersListed(kind, servers, self._listing.version))
-
-    def _noted(self, line: Listed) -> ListedServer:
-        """Note what a line says of its server's connections; a defect there keeps no other line from being taken."""
-        server, protocol = line.server, self._dialects.of(line)
-        if not self._nodes.speaks(protocol):
-            server, protocol = self._not_spoken(server, protocol), HTTP
-        try:
-            self._nodes.update(server.server, line.address, server.started_at, server.state, protocol)
-        except Exception:
-            log.exception("could not take %.200r", line)
-        return server
+    def _servers_listed(self, event: ServersListed) -> None:
+        if self._observer is not None and event.kind is not ListKind.FAILED:
+            self._observer.listed(event.servers)
+        self.handle(event)
 
     def _show_roster(self) -> bytes:
         """The list as it stands: each node's state, address and protocol, whose word that is and how old."""
@@ -683,8 +607,8 @@
                 "state": each.state.value,
                 "address": f"{each.address[0]}:{each.address[1]}",
                 "protocol": each.protocol,
-                "source": self._discovery.source_of(each.name),
-                "age_s": round(now - self._listing.told_at(each.name, now), 3),
+                "source": self.server_list.source.source_of(each.name),
+                "age_s": round(now - self.server_list.listing.told_at(each.name, now), 3),
             }
             for each in self._nodes.endpoints.values()
         ]
@@ -694,7 +618,7 @@
                 "can_know": each.can_know,
                 "age_s": None if each.heard_at is None else round(now - each.heard_at, 3),
             }
-            for each in self._discovery.standing()
+            for each in self.server_list.standing()
         ]
         told: dict[str, Any] = {
             "counters": self.counters.show(),
@@ -706,11 +630,3 @@
         if self._tier_part is not None:
             told["tier"] = self._tier_part.show()
         return json.dumps(told).encode()
-
-    @staticmethod
-    def _not_spoken(server: ListedServer, protocol: str) -> ListedServer:
-        """A node that nothing here can speak to takes nothing new."""
-        log.warning(
-            "%s speaks %.40r, which is not spoken here: nothing new goes there", server.server, protocol
-        )
-        return replace(server, state=ServerState.DRAINING) if server.state is ServerState.READY else server
--- a/topazbank/operation/service.py
+++ b/topazbank/operation/service.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from topazbank.core.driver import Config, Sidecar, Wiring
-from topazbank.membership.registry import list_to_json, parse_list
+from topazbank.membership.list_format import list_to_json, parse_list
 from topazbank.operation.desk import Calls, Desk
 from topazbank.operation.handover import Handover, inherit
 from topazbank.operation.upgrade import parts
