--- a/tests/incidents/test_drains_and_discovery.py
+++ b/tests/incidents/test_drains_and_discovery.py
@@ -16,6 +16,7 @@
 import signal
 import sys
 import time
+import tomllib
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -34,6 +35,7 @@
 TOLD_AFTER_UPGRADE_S = 2.0
 GRACE_S = 0.55  # of the settings, and 50 ms that the platform adds on sockets
 SLACK_S = 0.25  # servers, clients and registries of a scene share one loop
+SIGNALLED_S = 3.5  # how much longer signals go on
 JUDGED_S = 3.0  # how long a server that drains is watched from then on
 OUTAGE_MOST_S = 40.0  # by then so many calls have failed, however long the program waits between them
 RATE = 25.0  # requests a second at each process
@@ -234,15 +236,19 @@
     one.drain(scene.servers[0].entry())
 
 
-async def signal_while_discovery_is_slow(scene: Scene, one: One) -> None:
+def signal_while_discovery_is_slow(gap_s: float) -> Callable[[Scene, One], Awaitable[None]]:
     """New configurations in quick succession, faster than discovery answers; it has moved nowhere."""
-    await until(lambda: one.registry.list_calls)
-    one.drain(scene.servers[0].entry())
-    one.registry.trouble = Trouble.LATE
-    one.registry.end_watches()
-    for _ in range(28):
-        one.process.send_signal(signal.SIGHUP)
-        await asyncio.sleep(0.35)
+
+    async def faults(scene: Scene, one: One) -> None:
+        await until(lambda: one.registry.list_calls)
+        one.drain(scene.servers[0].entry())
+        one.registry.trouble = Trouble.LATE
+        one.registry.end_watches()
+        while time.monotonic() < one.told_at + SIGNALLED_S:
+            one.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(gap_s)
+
+    return faults
 
 
 async def swallow_the_call_after_a_signal(scene: Scene, one: One) -> None:
@@ -275,7 +281,8 @@
     "held, 200 sidecars": (Fleet(200, 15.0), fail_until(Trouble.HELD, 3)),
     "refused, asked for once a minute": (Fleet(8, 60.0), fail_until(Trouble.REFUSED, 3)),
     "swallowed after a failure": (Fleet(), swallow_the_call_after_a_failure),
-    "signals while discovery is slow": (Fleet(), signal_while_discovery_is_slow),
+    "signals while discovery is slow": (Fleet(), signal_while_discovery_is_slow(0.35)),
+    "many signals while discovery is slow": (Fleet(), signal_while_discovery_is_slow(0.05)),
     "swallowed after a signal": (Fleet(), swallow_the_call_after_a_signal),
     "pushed, and the agent silent": (Fleet(discovery="pushed"), silence_the_agent),
 }
@@ -337,3 +344,30 @@
             assert not late, f"{len(late)} of {len(made.all)} processes: {late}"
 
     play(played())
+
+
+def test_signals_in_series_from_the_first_moment_on_end_no_process(tmp_path: Path) -> None:
+    """A new configuration may come while a process starts, before there is a program that could hear of it."""
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
+
+    async def played() -> None:
+        async with scene(tmp_path, Fleet()) as made:
+            one = await made.start(0)
+            one.process.kill()
+            await one.process.wait()
+            environ = os.environ | {"RELAY_CONFIG": str(one.path), "TMPDIR": str(one.path.parent)}
+            with (one.path.parent / "log").open("ab") as log:
+                one.process = await asyncio.create_subprocess_shell(
+                    deploy["run"], cwd=ROOT, env=environ, stderr=log
+                )
+            await asyncio.sleep(0.01)  # the shell has begun
+            for _ in range(60):
+                one.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.02)
+            await ready(one.listen)
+            assert one.process.returncode is None
+            one.process.send_signal(signal.SIGHUP)
+            log_path = one.path.parent / "log"
+            await until(lambda: b"discovery is at" in log_path.read_bytes())
+
+    play(played())
