--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -250,9 +250,8 @@
         self._guide = guide
         self.spending: Spending | None = None  # what the whole fleet has left: it can only tighten
         self._random = random.Random(seed)
-        self._poll_chance = random.Random(
-            str(seed)
-        )  # of its own: calls for the list change no choice of servers
+        # Of its own: how often the list is asked for changes no choice of servers.
+        self._poll_chance = random.Random(str(seed))
         self._classes = {each.name: each for each in settings.classes}
         self._traffic = Traffic(settings)
         self._longest_aim = max(each.aim_us for each in settings.classes)
--- a/topazbank/membership/both.py
+++ b/topazbank/membership/both.py
@@ -11,6 +11,9 @@
 from topazbank.core.net import Address
 from topazbank.membership.merge import Merge
 
+# Between the calls of a source that has failed while others answer: two fit before its news count as told, 6 s after it
+# could be reached.
+_AGAIN_S = 1.5
 _WAIT_S = 2.0  # how long the first list waits for all sources; the one of before the start holds meanwhile
 
 Make = Callable[[Callable[[Told | None], None]], Source]
@@ -28,6 +31,7 @@
         self._failed: set[str] = set()  # sources that could not say when they were last asked
         self._sources = {name: make(partial(self._heard, name)) for name, make in makers.items()}
         self._waited: asyncio.TimerHandle | None = None
+        self._calls: dict[str, asyncio.TimerHandle] = {}  # the next call of each source that was last in vain
 
     def _heard(self, name: str, told: Told | None) -> None:
         if told is None:
@@ -36,15 +40,29 @@
             if len(self._failed) == len(self._sources):
                 self._failed.clear()
                 self._told(None)  # nobody can say
-            else:
-                self._sources[name].follow(True)
+            self._call_later(name)
             return
         self._failed.discard(name)
+        self._end_calls(name)
         listing = self._listings[name]
         listing.told(asyncio.get_running_loop().time(), told)
         self._whole[name] |= told.complete
         self._step(name)
 
+    def _call_later(self, name: str) -> None:
+        """Whoever listens asks again only once no source can say: one alone is called here until it answers."""
+        if name not in self._calls:
+            self._calls[name] = asyncio.get_running_loop().call_later(_AGAIN_S, self._call_again, name)
+
+    def _call_again(self, name: str) -> None:
+        self._sources[name].follow(True)
+        self._calls[name] = asyncio.get_running_loop().call_later(_AGAIN_S, self._call_again, name)
+
+    def _end_calls(self, name: str) -> None:
+        call = self._calls.pop(name, None)
+        if call is not None:
+            call.cancel()
+
     def _step(self, name: str) -> None:
         """Pass on some of what a source told now, and the rest in the loop's next turns."""
         listing = self._listings[name]
@@ -88,8 +106,9 @@
     def stop(self) -> None:
         if self._waited is not None:
             self._waited.cancel()
-        for each in self._sources.values():
-            each.stop()
+        for name, source in self._sources.items():
+            self._end_calls(name)
+            source.stop()
 
     def standing(self) -> tuple[Standing, ...]:
         return tuple(standing for each in self._sources.values() for standing in each.standing())
--- a/topazbank/membership/registry.py
+++ b/topazbank/membership/registry.py
@@ -66,9 +66,8 @@
         self._heard_at: float | None = None
         self._failed = False  # whether the last call was in vain
         self._watch: asyncio.Task[None] | None = None
-        self._polls: dict[
-            asyncio.Task[None], int | None
-        ] = {}  # the oldest first, each with the version it knows
+        # Those that are out, the oldest first, each with the version that it knows.
+        self._polls: dict[asyncio.Task[None], int | None] = {}
         self._polled_at = -math.inf
         self._fetches: set[asyncio.Task[None]] = set()  # as many as the balancer asks for, each for _CALL_S
 
@@ -98,9 +97,11 @@
         self._address, self._version = address, None
         self._end_watch()
         self._end_polls(lambda known: known is not None)
-        if not self._stopped:
+        if self._stopped:
+            return
+        if len(self._polls) < _POLLS_MOST:
             self._poll()
-            self._tell(None)  # no answer yet: more polls are to follow until there is one
+        self._tell(None)  # no answer yet: more polls are to follow until there is one
 
     def stop(self) -> None:
         self._stopped = True
