The end of our side of a client's connection is guarded, in one place for both protocols

ClientConnection.end_sending ends it, or gives the connection up as left; HTTP's and MessagePack-RPC's connections call it.

--- a/topazbank/core/listener.py
+++ b/topazbank/core/listener.py
@@ -139,6 +139,18 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def end_sending(self) -> bool:
+        """End our side, and read on; whether that could be done: a client that has just reset it has left."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        try:
+            transport.write_eof()
+        except OSError:  # the reset has come, and the loop has not heard of it yet
+            self.abort(client_gone=True)
+            return False
+        return True
+
     def _check_answered(self) -> None:
         """What was read is answered before its connection ends: an end without is a broken promise, and is counted."""
         if self.holds():
--- a/topazbank/http/server.py
+++ b/topazbank/http/server.py
@@ -420,8 +420,8 @@
             self._dropped = 0
             self.partial = None
             self._frontend.move(self, state)
-            self._transport.write_eof()
-            self._transport.resume_reading()
+            if self.end_sending():
+                self._transport.resume_reading()
 
     def _drop(self, count: int) -> None:
         self._dropped = (self._dropped or 0) + count
--- a/topazbank/msgpackrpc/server.py
+++ b/topazbank/msgpackrpc/server.py
@@ -350,4 +350,4 @@
         elif self._transport is not None and not self._transport.is_closing():
             # Our side ends, and what still comes is dropped: closing on unread bytes would reset the answers away.
             self._frontend.move(self, ConnectionState.CLOSING)
-            self._transport.write_eof()
+            self.end_sending()
