The upgrade's scene waits for both processes' first lines, in whatever order lines come

It looked for the new process's first line behind the second line of the log, and the old process's line of the hand-over may come after it: then it waited for a third that never comes. The scene judges as before.

--- a/tests/incidents/test_drains_and_discovery.py
+++ b/tests/incidents/test_drains_and_discovery.py
@@ -344,9 +344,8 @@
                 await until(lambda: one.registry.list_calls)
                 old = one.process
                 one.process = await launch(one.path, one.path.parent)
-                await until(
-                    lambda: b"list at the start" in (one.path.parent / "log").read_bytes().split(b"\n", 2)[-1]
-                )
+                log = one.path.parent / "log"
+                await until(lambda: log.read_bytes().count(b"list at the start") == 2)  # of both processes
                 old.send_signal(signal.SIGTERM)
                 one.drain(made.servers[0].entry(), TOLD_AFTER_UPGRADE_S)
                 await old.wait()
