Review case 3: a drain told behind a late answer of the ensemble is lost

Cause: a watch event that arrives in the same bytes as the answer to a read in flight is dropped by ZooKeeperSource._start_reads, and the node then counts as read with its old data.

The stand-ins gain the project's ensemble and registrars as processes, and a link that is late in bursts.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,110 +1,119 @@
-"""Large bodies that clients write slowly are kept in $TMPDIR, which counts as memory, until the sidecar is killed."""
+"""A server's drain that the ensemble tells right behind a late answer is lost in the sidecar, which goes on sending."""
 
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
-import stat
-import time
 from pathlib import Path
 
 from review.standin.case import run_case
+from review.standin.ensemble import LateLink, Program, register, start_ensemble
 from review.standin.fleet import Discovery, Runs, Server, read_message, request
-from review.standin.platform import Record, Sidecar
+from review.standin.platform import ROOT, Record, Sidecar
 
 SERVERS = 4
-MEMORY_MB = 192  # the most that the pages name
-CLIENTS = 10
-BODY_BYTES = 30_000_000  # the pages name up to 32 MB
-SMALL_BODY_BYTES = 1_000_000
-FAST_BYTES_PER_S = 8_000_000.0  # until the last part of a body
-SLOW_BYTES_PER_S = 200_000.0  # three times the slowest pace that the pages name
-SLOW_PART_BYTES = 3_000_000
-PIECE_BYTES = 50_000
+CLIENTS = 6
+WORK_S = 0.12  # of a `lodge`
+LATE_S = 2.0  # the most by which what the ensemble sends comes late
+LATE_FOR_S = 12.0
+TOLD_AFTER_S = 6.0  # a change counts as told at the latest so long after discovery had it
+GRACE_S = 0.5 + 0.05 + 0.15  # of the brief, of the rules on sockets, and for a sidecar that is held up
+DRAIN_S = 12.0  # from the registration as leaving to the server's end
 BUDGET_S = 4.0
-WATCHED_S = 35.0
 
+MEMBERSHIP = """
+[membership]
+sources = ["zookeeper"]
 
-def memory_bytes(process: int, folder: Path) -> tuple[int, int]:
-    """What the platform counts: the process's resident memory, and the files that it holds in $TMPDIR."""
-    resident = int(Path(f"/proc/{process}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-    files: dict[tuple[int, int], int] = {}
-    opened = [Path(f"/proc/{process}/fd") / name for name in os.listdir(f"/proc/{process}/fd")]
-    for path in [*opened, *folder.rglob("*")]:
-        try:
-            if path in opened and not os.readlink(path).startswith(str(folder)):
-                continue
-            status = path.stat()
-        except OSError:
-            continue  # closed meanwhile
-        if stat.S_ISREG(status.st_mode):
-            files[status.st_dev, status.st_ino] = status.st_blocks * 512
-    return resident, sum(files.values())
+[membership.zookeeper]
+members = ["{host}:{port}"]
+path = "/lodge/nodes"
+"""
 
 
-async def platform(sidecar: Sidecar, record: Record, process: asyncio.subprocess.Process) -> list[str]:
-    """Count the sidecar's memory; kill it if that goes over the limit, as the platform does."""
-    folder = (sidecar.folder / "tmp").resolve()
-    highest, ends_at = 0, time.monotonic() + WATCHED_S
-    while time.monotonic() < ends_at and process.returncode is None:
-        resident, files = memory_bytes(process.pid, folder)
-        if resident + files > highest + 5_000_000:
-            highest = resident + files
-            record(f"platform: memory {resident / 1e6:.0f} MB, files in $TMPDIR {files / 1e6:.0f} MB")
-        if resident + files > MEMORY_MB * 1024 * 1024:
-            sidecar.signal(process, signal.SIGKILL)
-            said = f"{resident / 1e6:.0f} MB and {files / 1e6:.0f} MB of files in $TMPDIR"
-            return [f"over memory_mb = {MEMORY_MB}, killed: {said}"]
-        await asyncio.sleep(0.1)
-    return [] if process.returncode is None else [f"the sidecar ended by itself: {process.returncode}"]
+async def client(name: str, sidecar: Sidecar, record: Record, stop: asyncio.Event) -> dict[str, int]:
+    """Send lodges one after another; return the status of each answer."""
+    answers: dict[str, int] = {}
+    reader, writer = await asyncio.open_connection(*sidecar.listen)
+    while not stop.is_set():
+        call_id = f"{name}-{len(answers)}"
+        writer.write(request(call_id, "lodge", BUDGET_S, b"declaration"))
+        answers[call_id] = (await read_message(reader)).status
+        record(f"{name}: {call_id}: answered {answers[call_id]}")
+    writer.close()
+    return answers
 
 
-async def client(number: int, sidecar: Sidecar, record: Record, size: int) -> None:
-    """Send one `lodge` with a large body, its last part slowly; read the answer."""
-    call_id = f"lodge-{number}"
-    data = request(call_id, "lodge", BUDGET_S, bytes([65 + number]) * size)
-    started_at = asyncio.get_running_loop().time()
-    try:
-        reader, writer = await asyncio.open_connection(*sidecar.listen)
-        due_s = 0.0
-        for start in range(0, len(data), PIECE_BYTES):
-            slow = start > len(data) - SLOW_PART_BYTES
-            writer.write(data[start : start + PIECE_BYTES])
-            await writer.drain()
-            due_s += PIECE_BYTES / (SLOW_BYTES_PER_S if slow else FAST_BYTES_PER_S)
-            await asyncio.sleep(started_at + due_s - asyncio.get_running_loop().time())
-        record(f"client: {call_id}: all of {len(data)} bytes written")
-        answer = await read_message(reader)
-        record(f"client: {call_id}: answered {answer.status}")
-        writer.close()
-    except (asyncio.IncompleteReadError, OSError) as error:
-        record(f"client: {call_id}: connection ended: {error!r}")
+async def play(
+    sidecar: Sidecar, link: LateLink, leaving: Server, registrar: Program, record: Record, trouble: bool
+) -> tuple[float, dict[str, int]]:
+    """Start the sidecar, drain one server and end it; return when it began to drain, and all answers."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    link.late = trouble
+    await sidecar.start()
+    await sidecar.wait_ready()
+    started_at = loop.time()
+    clients = [
+        asyncio.create_task(client(f"client{number}", sidecar, record, stop)) for number in range(CLIENTS)
+    ]
+    while trouble and len(link.bursts) < 3:  # the sidecar then reads what each server has registered
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(0.5 if trouble else 4.0)
+    registrar.signal(signal.SIGTERM)
+    await registrar.wait_for("is leaving")  # the ensemble has stored it
+    left_at = loop.time()
+    await asyncio.sleep(max(0.0, started_at + LATE_FOR_S - loop.time()))
+    link.late = False
+    await asyncio.sleep(max(0.0, left_at + DRAIN_S - loop.time()))
+    leaving.end()
+    await registrar.end()
+    await asyncio.sleep(1.0)
+    stop.set()
+    answers = {}
+    for sent in await asyncio.gather(*clients):
+        answers |= sent
+    return left_at, answers
 
 
 async def case(record: Record, trouble: bool) -> list[str]:
-    """Return how the sidecar crashed."""
+    """Return what was sent to the draining server after the sidecar counts as told, and what became of it."""
     runs = Runs()
-    discovery = Discovery(record)
-    await discovery.start()
-    for number in range(SERVERS):
-        server = Server(f"node-{number}", record, runs, lambda message: 0.05)
+    servers = [Server(f"node-{number}", record, runs, lambda message: WORK_S) for number in range(SERVERS)]
+    for server in servers:
         await server.start()
-        discovery.put(server.entry())
-    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
-    sidecar = Sidecar(record, discovery.address, limits=limits)
+    unused = Discovery(record)
+    await unused.start()
+    known = {"index": 1, "snapshot": True, "endpoints": [server.entry() for server in servers]}
+    sidecar = Sidecar(record, unused.address, known=known)
+    programs: list[Program] = []
     try:
-        process = await sidecar.start()
-        await sidecar.wait_ready()
-        await asyncio.sleep(1.0)
-        watching = asyncio.create_task(platform(sidecar, record, process))
-        size = BODY_BYTES if trouble else SMALL_BODY_BYTES
-        clients = [client(number, sidecar, record, size) for number in range(CLIENTS)]
-        await asyncio.gather(*clients)
-        broken = await watching
+        ensemble, member = await start_ensemble(record)
+        programs.append(ensemble)
+        link = LateLink(member, record, LATE_S)
+        await link.start()
+        sidecar.operator_file = sidecar.folder / "operator.toml"
+        common = (ROOT / "deploy" / "operator.toml").read_text(encoding="utf-8")
+        host, port = link.address
+        sidecar.operator_file.write_text(common + MEMBERSHIP.format(host=host, port=port), encoding="utf-8")
+        for server in servers:
+            programs.append(await register(server, member, record))
+        left_at, answers = await play(sidecar, link, servers[0], programs[1], record, trouble)
     finally:
         await sidecar.end()
-    return broken
+        for program in programs:
+            await program.end()
+    if not any(run.server == "node-0" and run.at < left_at for run in runs.runs):
+        raise RuntimeError("node-0 got nothing before it drained")
+    told_at = left_at + TOLD_AFTER_S
+    late = [run for run in runs.runs if run.server == "node-0" and run.at > told_at + GRACE_S]
+    failed = [run.call_id for run in late if answers.get(run.call_id) != 200]
+    record(f"sent to node-0 after the grace: {len(late)}; of these not served: {failed}")
+    return [
+        f"{run.call_id} was sent to node-0 {run.at - left_at:.2f} s after it began to drain"
+        + (f", and was answered {answers.get(run.call_id)}" if run.call_id in failed else "")
+        for run in late
+    ]
 
 
 if __name__ == "__main__":
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONPATH=. PYTHONDONTWRITEBYTECODE=1 .venv/bin/python -c 'import msgpack, review.standin.case, review.standin.fleet'
+# The project's own stand-ins and programs that case 3 starts; they are Python too.
+.venv/bin/python -m testbed.zookeeper --help >/dev/null
+.venv/bin/python -m topazbank.discovery.registrar --help >/dev/null
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -62,6 +63,7 @@
         self.address = (HOST, 0)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen."""
@@ -75,10 +77,19 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def end(self) -> None:
+        """End like a process that dies: connections are reset, new ones refused."""
+        for writer in list(self._writers):
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        self.stop()
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        self._writers.add(writer)
         sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
@@ -87,6 +98,7 @@
             pass
         finally:
             self._tasks.discard(task)
+            self._writers.discard(writer)
             writer.close()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -196,16 +208,21 @@
             if message.start.split()[1] in ("/health/live", "/stats"):
                 writer.write(answer(200, report.encode()))
                 continue
-            call_id = message.headers.get("x-call-id", "")
-            run = Run(self.name, call_id, float(message.headers.get("x-budget", "0")), 0.0)
-            run.at = asyncio.get_running_loop().time()
-            self._runs.runs.append(run)
-            self._record(f"{self.name}: began {call_id}, told X-Budget {run.budget_s:.3f}")
+            call_id = self.began(message)
             await asyncio.sleep(self._work_s(message))
             body = self._body(self.name, message) or f"{self.name} did {call_id}".encode()
             writer.write(answer(200, body, X_Load_Report=report))
             await writer.drain()
 
+    def began(self, message: Message) -> str:
+        """Note that a request has arrived whole; return its id."""
+        call_id = message.headers.get("x-call-id", "")
+        at = asyncio.get_running_loop().time()
+        run = Run(self.name, call_id, float(message.headers.get("x-budget", "0")), at)
+        self._runs.runs.append(run)
+        self._record(f"{self.name}: got {call_id}, told X-Budget {run.budget_s:.3f}")
+        return call_id
+
 
 def request(call_id: str, request_class: str, budget_s: float, body: bytes = b"") -> bytes:
     """A client's request."""
--- a/review/standin/platform.py
+++ b/review/standin/platform.py
@@ -141,6 +141,7 @@
         self.processes: list[asyncio.subprocess.Process] = []
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self._folder.name)
+        self.operator_file: Path | None = None  # in place of the deploy file's
         (self.folder / "tmp").mkdir()
         self.config = {
             "name": "n0",
@@ -162,6 +163,8 @@
     async def start(self, operator: tuple[str, int] | None = None) -> asyncio.subprocess.Process:
         """Start `run` of the deploy file once, with `operator` as the operators' address."""
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["run"]
+        if self.operator_file is not None:
+            run = run.replace("deploy/operator.toml", str(self.operator_file))
         environment = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
         environment |= {
             "RELAY_NAME": "n0",
