Review: an interrupted case ends all processes that it started

Cause: a case that got SIGTERM left its sidecar, ensemble and registrars running.

Change: SIGTERM ends a case like an interrupt, and the end of one program no longer keeps the others from being ended.

--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from types import FrameType
 
 from review.standin.platform import Record
 
@@ -19,6 +21,7 @@
     """Run a case with the disruption, or without it if TROUBLE is 0, and exit."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
+    signal.signal(signal.SIGTERM, _interrupt)  # the processes that the case started are ended then too
     record(f"case {folder.name}, {'with' if trouble else 'without'} the disruption")
     try:
         broken = asyncio.run(_limited(case, record, trouble))
@@ -34,6 +37,10 @@
     sys.exit(1 if broken else 0)
 
 
+def _interrupt(number: int, frame: FrameType | None) -> None:
+    raise KeyboardInterrupt
+
+
 async def _limited(case: Case, record: Record, trouble: bool) -> list[str]:
     async with asyncio.timeout(LIMIT_S):
         return await case(record, trouble)
--- a/review/standin/ensemble.py
+++ b/review/standin/ensemble.py
@@ -64,9 +64,10 @@
         if self._process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 self._process.kill()
-        await self._process.wait()
-        if self._reading is not None:
-            await self._reading
+        with contextlib.suppress(asyncio.CancelledError):  # the case is interrupted: the others are ended too
+            await self._process.wait()
+            if self._reading is not None:
+                await self._reading
 
 
 async def start_ensemble(record: Record) -> tuple[Program, tuple[str, int]]:
