--- a/review/standin2/kit.py
+++ b/review/standin2/kit.py
@@ -28,6 +28,7 @@
 HOST = "127.0.0.1"
 READY_LIMIT_S = 30.0  # the platform's: a sidecar is ready by then
 RULE_HELD, RULE_BROKEN, NOT_RUN = 0, 1, 2
+FIRST_INDEX = 41  # the registry's version at its start
 now = time.monotonic
 
 
@@ -403,7 +404,7 @@
 
     def __init__(self, servers: list[Server], record: Record) -> None:
         self.servers = servers
-        self.index = 41
+        self.index = FIRST_INDEX
         self._changes: list[tuple[int, dict[str, Any]]] = []
         self._changed = asyncio.Event()
         self._record = record
@@ -444,6 +445,8 @@
         if "after" not in query:
             return self.snapshot()
         after, wait_s = int(query["after"]), int(query.get("wait_ms", "0")) / 1000
+        if after < FIRST_INDEX:
+            return self.snapshot()  # what was before is not kept
         if after >= self.index and wait_s:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), wait_s)
